--- /dev/null
+++ b/ragwortwinch/admin/metrics_page.h
@@ -0,0 +1,34 @@
+// The node's metrics in the text form that Prometheus reads.
+//
+//     MetricsPage page("cnx-1");
+//     std::string text = page.render(values);
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace ragwortwinch {
+
+// One reading of everything that is shown. Names are without the `ragwortwinch_` prefix.
+struct MetricValues {
+    std::map<std::string, double> counters;
+    std::map<std::string, double> gauges;
+    // Running requests by endpoint.
+    std::map<std::string, double> endpointRunning;
+};
+
+// Thread-safe.
+class MetricsPage {
+public:
+    explicit MetricsPage(std::string node)
+        : node_(std::move(node))
+    {
+    }
+    std::string render(const MetricValues& values) const;
+
+private:
+    std::string node_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/admission/fair_queue.h
@@ -0,0 +1,98 @@
+// Requests that wait for an endpoint, served by deficit round robin over teams by estimated token cost.
+//
+//     FairQueue queue;
+//     queue.push({ id, "riders", 2, cost, deadline });
+//     if (const QueuedRequest* next = queue.front(mayStart)) { ...; queue.popFront(); }
+//     for (QueuedRequest& late : queue.takeExpired(now)) refuse(late);
+//
+// Not thread-safe; holds no clock.
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ragwortwinch {
+
+struct QueuedRequest {
+    std::uint64_t id = 0;
+    std::string team;
+    std::int64_t weight = 1;
+    // Estimated tokens.
+    std::int64_t cost = 1;
+    Instant deadline;
+};
+
+// Decides which team's request is next; the rival of the fair order is first come, first served.
+class QueueOrder {
+public:
+    virtual ~QueueOrder() = default;
+    virtual void push(QueuedRequest request) = 0;
+    // Returns the next request of a team that `mayStart` lets through, or null. It stays in the queue.
+    virtual const QueuedRequest* front(const std::function<bool(const std::string& team)>& mayStart) = 0;
+    // Removes what `front` returned last.
+    virtual void popFront() = 0;
+    virtual std::vector<QueuedRequest> takeExpired(Instant now) = 0;
+    virtual std::size_t size() const = 0;
+    virtual std::size_t sizeOf(const std::string& team) const = 0;
+    virtual std::int64_t queuedCost() const = 0;
+};
+
+class FairQueue final : public QueueOrder {
+public:
+    // A turn of a team of weight 1 lets through this many tokens.
+    explicit FairQueue(std::int64_t quantum = 512)
+        : quantum_(quantum)
+    {
+    }
+
+    void push(QueuedRequest request) override;
+    const QueuedRequest* front(const std::function<bool(const std::string& team)>& mayStart) override;
+    void popFront() override;
+    std::vector<QueuedRequest> takeExpired(Instant now) override;
+    std::size_t size() const override { return size_; }
+    std::size_t sizeOf(const std::string& team) const override;
+    std::int64_t queuedCost() const override { return queuedCost_; }
+
+private:
+    struct Team {
+        std::string name;
+        std::deque<QueuedRequest> requests;
+        std::int64_t deficit = 0;
+        bool hasTurn = false;
+    };
+    using Ring = std::list<Team>;
+
+    void rotate();
+
+    std::int64_t quantum_;
+    Ring ring_;
+    std::map<std::string, Ring::iterator> byName_;
+    std::size_t size_ = 0;
+    std::int64_t queuedCost_ = 0;
+};
+
+// First come, first served: the simplest rival, kept for measurements.
+class ArrivalQueue final : public QueueOrder {
+public:
+    void push(QueuedRequest request) override;
+    const QueuedRequest* front(const std::function<bool(const std::string& team)>& mayStart) override;
+    void popFront() override;
+    std::vector<QueuedRequest> takeExpired(Instant now) override;
+    std::size_t size() const override { return requests_.size(); }
+    std::size_t sizeOf(const std::string& team) const override;
+    std::int64_t queuedCost() const override { return queuedCost_; }
+
+private:
+    std::deque<QueuedRequest> requests_;
+    std::size_t frontIndex_ = 0;
+    std::int64_t queuedCost_ = 0;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/base/time.h
@@ -0,0 +1,41 @@
+// Time as the project measures it: milliseconds of CLOCK_BOOTTIME, which goes on while a VM sleeps.
+//
+//     SystemClock clock;
+//     Instant deadline = clock.now() + std::chrono::seconds(5);
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace ragwortwinch {
+
+using Millis = std::chrono::milliseconds;
+
+// The tag type of the boot-time clock. Protocol classes never call it: they are given `now`.
+struct BootTime {
+    using rep = std::int64_t;
+    using period = std::milli;
+    using duration = Millis;
+    using time_point = std::chrono::time_point<BootTime>;
+    static constexpr bool is_steady = true;
+};
+
+using Instant = BootTime::time_point;
+
+// A source of time. Thread-safe.
+class Clock {
+public:
+    virtual ~Clock() = default;
+    virtual Instant now() const = 0;
+    // Milliseconds since 1970, for usage windows and logs only; never for leases.
+    virtual std::int64_t unixMillis() const = 0;
+};
+
+// The machine's clock.
+class SystemClock final : public Clock {
+public:
+    Instant now() const override;
+    std::int64_t unixMillis() const override;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/config/config_keeper.cc
@@ -0,0 +1,187 @@
+#include "ragwortwinch/config/config_keeper.h"
+
+#include "ragwortwinch/base/digest.h"
+#include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/config/rules_parser.h"
+
+#include <algorithm>
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr Millis peerAskInterval{300};
+
+} // namespace
+
+ConfigKeeper::ConfigKeeper(OpIds& ids, Millis readInterval)
+    : ids_(ids)
+    , readInterval_(readInterval)
+{
+}
+
+StoreOps ConfigKeeper::tick(Instant now)
+{
+    if (headOp_ != 0 || partOp_ != 0 || now < nextRead_)
+        return {};
+    bool isProvedByPeers = learnsFromPeers_ && version() > 0 && now - provedAt_ < readInterval_ * 2;
+    if (isProvedByPeers)
+        return {};
+    headOp_ = ids_.next();
+    headSentAt_ = now;
+    nextRead_ = now + readInterval_;
+    return {StoreOp::get(headOp_, configHeadKey)};
+}
+
+StoreOps ConfigKeeper::onAnswer(Instant now, const StoreAnswer& answer)
+{
+    if (headOp_ != 0 && answer.opId == headOp_) {
+        headOp_ = 0;
+        return onHeadAnswer(now, answer);
+    }
+    if (partOp_ != 0 && answer.opId == partOp_) {
+        partOp_ = 0;
+        return onPartAnswer(now, answer);
+    }
+    return {};
+}
+
+StoreOps ConfigKeeper::onHeadAnswer(Instant, const StoreAnswer& answer)
+{
+    isStoreDown_ = answer.isOutage();
+    if (isStoreDown_ || !answer.isOk())
+        return {};
+    std::optional<ConfigHead> head = parseConfigHead(answer.value);
+    if (!head)
+        return {};
+    if (head->version == version())
+        provedAt_ = std::max(provedAt_, headSentAt_);
+    // An older head is an older read of the store: it proves nothing and changes nothing.
+    if (head->version <= version())
+        return {};
+    loading_ = *head;
+    loadedParts_.clear();
+    return readNextPart();
+}
+
+StoreOps ConfigKeeper::readNextPart()
+{
+    partOp_ = ids_.next();
+    return {StoreOp::get(partOp_, configPartKey(loading_.hash, loadedParts_.size()))};
+}
+
+StoreOps ConfigKeeper::onPartAnswer(Instant, const StoreAnswer& answer)
+{
+    if (!answer.isOk())
+        return {};
+    loadedParts_.push_back(answer.value);
+    if (loadedParts_.size() < loading_.parts)
+        return readNextPart();
+    std::string text;
+    for (const std::string& part : loadedParts_)
+        text += part;
+    loadedParts_.clear();
+    if (adopt(loading_, std::move(text)))
+        provedAt_ = std::max(provedAt_, headSentAt_);
+    return {};
+}
+
+bool ConfigKeeper::adopt(const ConfigHead& head, std::string text)
+{
+    if (head.version <= version())
+        return false;
+    if (sha256Hex(text) != head.hash) {
+        LogEvent("config.bad_body", Severity::Error).with("version", head.version).with("hash", head.hash);
+        return false;
+    }
+    std::shared_ptr<const Rules> rules = handleErrors(
+        [&]() -> Result<std::shared_ptr<const Rules>> {
+            BOOST_LEAF_AUTO(parsed, parseRules(text));
+            return std::shared_ptr<const Rules>(std::make_shared<Rules>(std::move(parsed)));
+        },
+        [&](const Error& error) {
+            LogEvent("config.rejected", Severity::Error)
+                .with("version", head.version)
+                .with("problem", error.message);
+            return std::shared_ptr<const Rules>();
+        });
+    if (!rules)
+        return false;
+    checkInvariant(head.version > current_.head.version, "config.version_grows");
+    current_ = {head, std::move(text), std::move(rules)};
+    hasNew_ = true;
+    LogEvent("config.adopted").with("version", head.version).with("change", head.changeId);
+    return true;
+}
+
+void ConfigKeeper::onPeerStatement(Instant, const PeerStatement& statement)
+{
+    PeerStatement& known = statements_[statement.peer];
+    if (statement.madeAt < known.madeAt)
+        return;
+    known = statement;
+    if (statement.version == version() && version() > 0)
+        provedAt_ = std::max(provedAt_, statement.provedAt);
+}
+
+bool ConfigKeeper::onPeerBody(Instant, const ConfigHead& head, const std::string& text)
+{
+    return adopt(head, text);
+}
+
+std::optional<std::string> ConfigKeeper::takePeerToAsk(Instant now)
+{
+    if (now < nextPeerAsk_)
+        return std::nullopt;
+    const PeerStatement* best = nullptr;
+    for (const auto& entry : statements_) {
+        if (entry.second.version > version() && (!best || entry.second.version > best->version))
+            best = &entry.second;
+    }
+    if (!best)
+        return std::nullopt;
+    nextPeerAsk_ = now + peerAskInterval;
+    nextRead_ = std::min(nextRead_, now);
+    return best->peer;
+}
+
+std::optional<AcceptedConfig> ConfigKeeper::takeAdopted()
+{
+    if (!hasNew_)
+        return std::nullopt;
+    hasNew_ = false;
+    return current_;
+}
+
+bool ConfigKeeper::doAllSayStoreIsDown(Instant now, const std::set<std::string>& vms) const
+{
+    if (!isStoreDown_)
+        return false;
+    Millis bound = current_.rules->limits.freshnessBound;
+    return std::all_of(vms.begin(), vms.end(), [&](const std::string& vm) {
+        auto found = statements_.find(vm);
+        return found != statements_.end() && found->second.isStoreDown && now - found->second.madeAt <= bound
+            && found->second.version <= version();
+    });
+}
+
+bool ConfigKeeper::mayServeKeyed(Instant now, const std::set<std::string>& vms) const
+{
+    if (version() == 0)
+        return false;
+    const Limits& limits = current_.rules->limits;
+    if (now - provedAt_ <= limits.freshnessBound)
+        return true;
+    switch (limits.stalePolicy) {
+    case StalePolicy::Serve:
+        return true;
+    case StalePolicy::Refuse:
+        return false;
+    case StalePolicy::AgreeThenServe:
+        return doAllSayStoreIsDown(now, vms);
+    }
+    return false;
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/config/config_publisher.cc
@@ -0,0 +1,134 @@
+#include "ragwortwinch/config/config_publisher.h"
+
+#include "ragwortwinch/base/digest.h"
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr std::size_t historyLength = 16;
+
+} // namespace
+
+ConfigPublisher::ConfigPublisher(
+    std::string text, std::uint64_t expectedVersion, std::string changeId, OpIds& ids)
+    : text_(std::move(text))
+    , expectedVersion_(expectedVersion)
+    , ids_(ids)
+{
+    next_.version = expectedVersion + 1;
+    next_.changeId = std::move(changeId);
+    next_.hash = sha256Hex(text_);
+    next_.parts = configPartCount(text_.size());
+}
+
+StoreOps ConfigPublisher::start() { return readHead(Step::ReadHead); }
+
+StoreOps ConfigPublisher::readHead(Step step)
+{
+    step_ = step;
+    pendingOp_ = ids_.next();
+    return {StoreOp::get(pendingOp_, configHeadKey)};
+}
+
+StoreOps ConfigPublisher::end(PublishState state)
+{
+    state_ = state;
+    return {};
+}
+
+StoreOps ConfigPublisher::onAnswer(Instant, const StoreAnswer& answer)
+{
+    if (state_ != PublishState::Running || answer.opId != pendingOp_)
+        return {};
+    switch (step_) {
+    case Step::ReadHead:
+        return onHeadRead(answer);
+    case Step::WritePart:
+        return onPartWritten(answer);
+    case Step::WriteHead:
+        return onHeadWritten(answer);
+    case Step::ReadBack:
+        return onReadBack(answer);
+    }
+    return {};
+}
+
+StoreOps ConfigPublisher::onHeadRead(const StoreAnswer& answer)
+{
+    if (answer.isOutage())
+        return end(PublishState::NotAccepted);
+    std::optional<ConfigHead> head = parseConfigHead(answer.value);
+    headRevision_ = answer.isOk() ? answer.revision : 0;
+    versionInForce_ = head ? head->version : 0;
+    if (versionInForce_ != expectedVersion_)
+        return end(PublishState::Conflict);
+    if (head) {
+        next_.history = head->history;
+        next_.history.insert(next_.history.begin(), head->changeId);
+        if (next_.history.size() > historyLength)
+            next_.history.resize(historyLength);
+    }
+    return writePart();
+}
+
+StoreOps ConfigPublisher::writePart()
+{
+    step_ = Step::WritePart;
+    pendingOp_ = ids_.next();
+    return {StoreOp::put(pendingOp_, configPartKey(next_.hash, part_),
+        text_.substr(part_ * configPartBytes, configPartBytes), 0)};
+}
+
+StoreOps ConfigPublisher::onPartWritten(const StoreAnswer& answer)
+{
+    if (answer.status == StoreStatus::Unknown && ++tries_ < maxTries)
+        return writePart();
+    // A conflict means that the part stands already: its key is the hash of its text.
+    if (!answer.isOk() && answer.status != StoreStatus::Conflict)
+        return end(PublishState::NotAccepted);
+    tries_ = 0;
+    if (++part_ < next_.parts)
+        return writePart();
+    return writeHead();
+}
+
+StoreOps ConfigPublisher::writeHead()
+{
+    step_ = Step::WriteHead;
+    pendingOp_ = ids_.next();
+    return {StoreOp::put(pendingOp_, configHeadKey, next_.toJson(), headRevision_)};
+}
+
+StoreOps ConfigPublisher::onHeadWritten(const StoreAnswer& answer)
+{
+    if (answer.isOk()) {
+        versionInForce_ = next_.version;
+        return end(PublishState::Accepted);
+    }
+    if (answer.status == StoreStatus::Unavailable)
+        return end(PublishState::NotAccepted);
+    return readHead(Step::ReadBack);
+}
+
+StoreOps ConfigPublisher::onReadBack(const StoreAnswer& answer)
+{
+    if (answer.isOutage()) {
+        if (++tries_ < maxTries)
+            return readHead(Step::ReadBack);
+        return end(PublishState::Unknown);
+    }
+    std::optional<ConfigHead> head = parseConfigHead(answer.value);
+    versionInForce_ = head ? head->version : 0;
+    if (head && head->hasChange(next_.changeId))
+        return end(PublishState::Accepted);
+    if (answer.revision == headRevision_) {
+        // The lost write may still arrive; repeating it settles which, since only one can take effect.
+        if (++tries_ < maxTries)
+            return writeHead();
+        return end(PublishState::Unknown);
+    }
+    return end(PublishState::Conflict);
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/config/rules_parser.h
@@ -0,0 +1,21 @@
+// Parses and checks the operators' rules: one plain text file, JSON with comments, one rule a line, each line
+// with a comment that names who asked for it.
+//
+//     { "rules": [
+//     {"rule": "team", "name": "riders", "keys": ["<sha-256>"], "weight": 2},   // Nok, for the spring rota
+//     {"rule": "limit", "name": "retry_percent", "value": 10}                   // operations
+//     ] }
+//
+//     Result<Rules> rules = parseRules(text);   // the error lists every problem with line and remedy
+#pragma once
+
+#include "ragwortwinch/base/result.h"
+#include "ragwortwinch/config/rules.h"
+
+#include <string_view>
+
+namespace ragwortwinch {
+
+Result<Rules> parseRules(std::string_view text);
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/ctl/commands.cc
@@ -0,0 +1,242 @@
+#include "ragwortwinch/ctl/commands.h"
+
+#include "ragwortwinch/base/digest.h"
+#include "ragwortwinch/config/rules_parser.h"
+#include "ragwortwinch/config/settings.h"
+#include "ragwortwinch/ctl/admin_client.h"
+#include "ragwortwinch/ctl/key_editor.h"
+#include "ragwortwinch/ctl/line_diff.h"
+
+#include <array>
+#include <fmt/format.h>
+#include <fstream>
+#include <iostream>
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr int keyBytes = 24;
+constexpr int changeIdBytes = 12;
+
+Result<std::string> word(const CommandOptions& options, std::size_t index, const char* what)
+{
+    if (index >= options.words.size())
+        return makeError(ErrorKind::BadRequest, fmt::format("{} is missing; see ragwortwinch --help", what));
+    return options.words[index];
+}
+
+Result<void> writeFile(const std::string& path, const std::string& text)
+{
+    std::ofstream file(path, std::ios::binary | std::ios::trunc);
+    file << text;
+    file.close();
+    if (!file)
+        return makeError(
+            ErrorKind::Internal, fmt::format("can't write `{}`; check the path and its permissions", path));
+    return {};
+}
+
+// Beside the rules file stands the version that it was made from.
+std::string versionPath(const std::string& path) { return path + ".version"; }
+
+long long notedVersion(const std::string& path)
+{
+    std::ifstream file(versionPath(path));
+    long long version = 0;
+    return file >> version ? version : 0;
+}
+
+Result<int> check(const CommandOptions& options)
+{
+    BOOST_LEAF_AUTO(path, word(options, 0, "the file"));
+    BOOST_LEAF_AUTO(text, readFile(path, ErrorKind::BadRules));
+    BOOST_LEAF_AUTO(rules, parseRules(text));
+    std::cout << fmt::format("ok teams={} routes={} endpoints={}\n", rules.teams.size(), rules.routes.size(),
+        rules.endpoints.size());
+    return exitOk;
+}
+
+Result<int> fetch(const CommandOptions& options)
+{
+    BOOST_LEAF_AUTO(path, word(options, 0, "the file to write"));
+    BOOST_LEAF_AUTO(config, AdminClient(options.admin).get("/admin/v1/config"));
+    BOOST_LEAF_CHECK(writeFile(path, stringMember(config, "text")));
+    BOOST_LEAF_CHECK(writeFile(versionPath(path), std::to_string(integerMember(config, "version")) + "\n"));
+    std::cout << fmt::format("fetched version={} file={}\n", integerMember(config, "version"), path);
+    return exitOk;
+}
+
+Result<int> apply(const CommandOptions& options)
+{
+    BOOST_LEAF_AUTO(path, word(options, 0, "the file"));
+    BOOST_LEAF_AUTO(text, readFile(path, ErrorKind::BadRules));
+    BOOST_LEAF_CHECK(parseRules(text));
+    long long expected = options.expectedVersion >= 0 ? options.expectedVersion : notedVersion(path);
+    std::string target = fmt::format(
+        "/admin/v1/config?expected_version={}&change={}", expected, secureRandomHex(changeIdBytes));
+    BOOST_LEAF_AUTO(answer, AdminClient(options.admin).put(target, text));
+    std::int64_t version = integerMember(answer, "version");
+    BOOST_LEAF_CHECK(writeFile(versionPath(path), std::to_string(version) + "\n"));
+    std::cout << fmt::format("accepted version={}\n", version);
+    return exitOk;
+}
+
+Result<int> diff(const CommandOptions& options)
+{
+    BOOST_LEAF_AUTO(path, word(options, 0, "the file"));
+    BOOST_LEAF_AUTO(text, readFile(path, ErrorKind::BadRules));
+    BOOST_LEAF_AUTO(config, AdminClient(options.admin).get("/admin/v1/config"));
+    std::vector<std::string> lines = diffLines(stringMember(config, "text"), text);
+    std::cout << fmt::format("in_force version={} file={} made_from={}\n", integerMember(config, "version"),
+        path, notedVersion(path));
+    for (const std::string& line : lines)
+        std::cout << line << '\n';
+    return lines.empty() ? exitOk : exitFailed;
+}
+
+void printStatus(const Json& status)
+{
+    std::cout << fmt::format("node={} ready={} config_version={} store_down={} proof_age_ms={}\n",
+        stringMember(status, "node"), booleanMember(status, "ready"), integerMember(status, "config_version"),
+        booleanMember(status, "store_down"), integerMember(status, "proof_age_ms"));
+    for (const Json& vm : status.at("vms"))
+        std::cout << fmt::format("vm={} zone={} ready={} leaving={} silent_ms={}\n", stringMember(vm, "name"),
+            stringMember(vm, "availability_zone"), booleanMember(vm, "ready"), booleanMember(vm, "leaving"),
+            integerMember(vm, "silent_ms"));
+    for (const Json& endpoint : status.at("endpoints"))
+        std::cout << fmt::format("endpoint={} service={} zone={} running={} usable={} leaving={}\n",
+            stringMember(endpoint, "name"), stringMember(endpoint, "service"),
+            stringMember(endpoint, "availability_zone"), integerMember(endpoint, "running"),
+            booleanMember(endpoint, "usable"), booleanMember(endpoint, "leaving"));
+    for (const Json& duty : status.at("duties")) {
+        if (booleanMember(duty, "held"))
+            std::cout << fmt::format("duty={} epoch={} quiet_period_over={}\n", stringMember(duty, "duty"),
+                integerMember(duty, "epoch"), booleanMember(duty, "quiet_period_over"));
+    }
+}
+
+Result<int> status(const CommandOptions& options)
+{
+    BOOST_LEAF_AUTO(state, AdminClient(options.admin).get("/admin/v1/status"));
+    printStatus(state);
+    return exitOk;
+}
+
+Result<int> dump(const CommandOptions& options)
+{
+    // The node may be named by its operators' port.
+    std::string address = options.words.empty() ? options.admin : options.words[0];
+    BOOST_LEAF_AUTO(state, AdminClient(address).get("/dump"));
+    std::cout << state.dump(2) << '\n';
+    return exitOk;
+}
+
+Result<int> keys(const CommandOptions& options)
+{
+    BOOST_LEAF_AUTO(action, word(options, 0, "`new` or `withdraw`"));
+    if (action == "new") {
+        std::string key = "rw-" + secureRandomHex(keyBytes);
+        std::string hash = sha256Hex(key);
+        if (options.words.size() > 1) {
+            if (options.team.empty())
+                return makeError(ErrorKind::BadRequest, "name the team with --team");
+            BOOST_LEAF_AUTO(text, readFile(options.words[1], ErrorKind::BadRules));
+            BOOST_LEAF_AUTO(edited, addKeyHash(text, options.team, hash));
+            BOOST_LEAF_CHECK(writeFile(options.words[1], edited));
+        }
+        std::cout << fmt::format("key={}\nhash={}\n", key, hash);
+        return exitOk;
+    }
+    if (action == "withdraw") {
+        BOOST_LEAF_AUTO(prefix, word(options, 1, "the start of the key's hash"));
+        BOOST_LEAF_AUTO(path, word(options, 2, "the file"));
+        BOOST_LEAF_AUTO(text, readFile(path, ErrorKind::BadRules));
+        BOOST_LEAF_AUTO(edited, removeKeyHash(text, prefix));
+        BOOST_LEAF_CHECK(writeFile(path, edited));
+        std::cout << "withdrawn; apply the file to bring it into force\n";
+        return exitOk;
+    }
+    return makeError(ErrorKind::BadRequest, "use `keys new` or `keys withdraw`");
+}
+
+Result<int> drain(const CommandOptions& options)
+{
+    BOOST_LEAF_CHECK(AdminClient(options.admin).post("/admin/v1/drain", "{}"));
+    std::cout << "drain started; the process exits by itself\n";
+    return exitOk;
+}
+
+Result<int> order(const CommandOptions& options)
+{
+    BOOST_LEAF_AUTO(endpoint, word(options, 0, "the endpoint"));
+    BOOST_LEAF_AUTO(kind, word(options, 1, "the kind of order"));
+    std::string argument = options.words.size() > 2 ? options.words[2] : std::string();
+    BOOST_LEAF_CHECK(AdminClient(options.admin)
+                         .post("/admin/v1/orders",
+                             Json({{"endpoint", endpoint}, {"kind", kind}, {"argument", argument}}).dump()));
+    std::cout << "order accepted; see its state with `ragwortwinch dump`\n";
+    return exitOk;
+}
+
+struct Command {
+    const char* name;
+    const char* usage;
+    const char* help;
+    Result<int> (*run)(const CommandOptions&);
+};
+
+constexpr std::array<Command, 9> commands{{
+    {"check", "check FILE", "check the rules in FILE; nothing is changed", check},
+    {"fetch", "fetch FILE", "write the rules in force to FILE, and note their version beside it", fetch},
+    {"apply", "apply FILE", "bring the rules in FILE into force, if no other change came first", apply},
+    {"diff", "diff FILE", "show what FILE would change", diff},
+    {"status", "status", "show VMs, endpoints and duties as one node sees them", status},
+    {"dump", "dump [ADDRESS]", "print the whole state of a node as JSON, without secrets", dump},
+    {"keys", "keys new [FILE --team T] | keys withdraw HASH FILE", "make a key, or take one out of the rules",
+        keys},
+    {"drain", "drain", "stop a node gracefully", drain},
+    {"order", "order ENDPOINT KIND [ARGUMENT]",
+        "give an endpoint an order: set_role, load_model, drain, resume", order},
+}};
+
+int exitCodeOf(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::BadRequest:
+        return exitUsage;
+    case ErrorKind::BadRules:
+        return exitInvalid;
+    case ErrorKind::Conflict:
+        return exitConflict;
+    default:
+        return exitFailed;
+    }
+}
+
+} // namespace
+
+std::string commandHelp()
+{
+    std::string text;
+    for (const Command& command : commands)
+        text += fmt::format("  {:<52} {}\n", command.usage, command.help);
+    return text;
+}
+
+int runCommand(const std::string& name, const CommandOptions& options)
+{
+    for (const Command& command : commands) {
+        if (name != command.name)
+            continue;
+        return handleErrors([&] { return command.run(options); },
+            [](const Error& error) {
+                std::cerr << errorKindNames.name(error.kind) << ": " << error.message << std::endl;
+                return exitCodeOf(error.kind);
+            });
+    }
+    std::cerr << fmt::format("unknown command `{}`; see ragwortwinch --help", name) << std::endl;
+    return exitUsage;
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/dispatch/chat_exchange.cc
@@ -0,0 +1,326 @@
+#include "ragwortwinch/dispatch/chat_exchange.h"
+
+#include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/dispatch/error_response.h"
+#include "ragwortwinch/routing/prefix_index.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr std::size_t prefixBlockBytes = static_cast<std::size_t>(prefixBlockTokens) * 4;
+constexpr std::size_t maxPrefixBlocks = 256;
+constexpr std::size_t maxErrorBytes = 4096;
+constexpr int statusOk = 200;
+// How long a broken stream may wait for room at another engine.
+constexpr Millis resumeWait{10000};
+
+} // namespace
+
+ChatExchange::ChatExchange(const DispatchContext& context, RequestTerms terms, ChatRequest request,
+    std::shared_ptr<HttpResponder> responder)
+    : context_(context)
+    , terms_(std::move(terms))
+    , request_(std::move(request))
+    , responder_(std::move(responder))
+    , completionId_("chatcmpl-" + context.ids.next())
+    , deadline_(context.clock.now() + terms_.route.deadline)
+    , promptTokens_(request_.promptTokens())
+{
+    query_.service = request_.model;
+    query_.promptTokens = promptTokens_;
+    query_.outputTokens = request_.maxTokens;
+    query_.prefixes = hashPrefixes(request_.prompt, prefixBlockBytes, maxPrefixBlocks);
+}
+
+void ChatExchange::start()
+{
+    context_.metrics.requests.fetch_add(1);
+    context_.metrics.active.fetch_add(1);
+    context_.retries.onFirstTry();
+    std::weak_ptr<ChatExchange> weak = weak_from_this();
+    responder_->onClosed([weak] {
+        std::shared_ptr<ChatExchange> self = weak.lock();
+        if (!self)
+            return;
+        self->hasCallerGone_.store(true);
+        std::lock_guard<std::mutex> lock(self->handleMutex_);
+        if (self->handle_)
+            self->handle_->cancel();
+    });
+    responder_->onWritten([weak] {
+        std::shared_ptr<ChatExchange> self = weak.lock();
+        if (!self || !self->isPaused_.load() || self->responder_->unsentBytes() > resumeBelowBytes)
+            return;
+        self->isPaused_.store(false);
+        std::lock_guard<std::mutex> lock(self->handleMutex_);
+        if (self->handle_)
+            self->handle_->resume();
+    });
+    queue(deadline_);
+}
+
+void ChatExchange::queue(Instant deadline)
+{
+    std::shared_ptr<ChatExchange> self = shared_from_this();
+    context_.scheduler.submit(
+        {query_, terms_.team, terms_.weight, terms_.maxConcurrent, deadline},
+        [self](Placement placement) { self->onPlaced(std::move(placement)); },
+        [self](const Error& error) { self->finishWithError(error); });
+}
+
+void ChatExchange::onPlaced(Placement placement)
+{
+    placement_ = std::move(placement);
+    // A stream that has begun is not cut when its key is withdrawn; a waiting request does not start.
+    if (!answer_.hasOutput() && !terms_.isKeyValid()) {
+        finishWithError({ErrorKind::Unauthorized,
+            "the key was withdrawn while the request waited; ask your operators for a new one"});
+        return;
+    }
+    if (hasCallerGone_.load()) {
+        context_.metrics.callersGone.fetch_add(1);
+        end();
+        return;
+    }
+    beginAttempt();
+}
+
+void ChatExchange::beginAttempt()
+{
+    ++attempts_;
+    attempt_ = {};
+    attempt_.id = context_.ids.next();
+    std::shared_ptr<ChatExchange> self = shared_from_this();
+    // The callback may run before `start` returns, so the handle is stored under the lock that it takes.
+    std::lock_guard<std::mutex> lock(handleMutex_);
+    handle_ = context_.upstream.start(makeCall(), [self](const HttpCallResult& result) {
+        {
+            std::lock_guard<std::mutex> handleLock(self->handleMutex_);
+            self->handle_.reset();
+        }
+        self->onAttemptDone(result);
+    });
+}
+
+HttpCall ChatExchange::makeCall()
+{
+    std::shared_ptr<ChatExchange> self = shared_from_this();
+    Millis left = std::max(Millis(200), std::chrono::duration_cast<Millis>(deadline_ - context_.clock.now()));
+    const SocketAddress& address = placement_.endpoint()->rule().address;
+    // Built from nothing: no header of the caller, and so no key, reaches an engine.
+    return HttpCallBuilder("POST", "http://" + address.text() + "/v1/chat/completions")
+        .header("Content-Type", "application/json")
+        .header("X-Attempt-Id", attempt_.id)
+        .body(upstreamBody())
+        .connectTimeout(Millis(1000))
+        .firstByteTimeout(answer_.hasOutput() ? terms_.limits.streamIdleBound * 2 : left / 2)
+        .idleTimeout(terms_.limits.streamIdleBound)
+        .onHeaders([self](int status, const HttpHeaders& headers) { self->onHeaders(status, headers); })
+        .onData([self](std::string_view bytes) { return self->onData(bytes); })
+        .build();
+}
+
+std::string ChatExchange::upstreamBody() const
+{
+    Json body = request_.body;
+    body["stream"] = true;
+    body["max_tokens"] = request_.maxTokens;
+    body["request_id"] = completionId_;
+    if (answer_.hasOutput())
+        body["continue_from"] = {{"offset", answer_.nextOffset()}, {"text", answer_.text()}};
+    return body.dump();
+}
+
+void ChatExchange::onHeaders(int status, const HttpHeaders& headers)
+{
+    attempt_.status = status;
+    attempt_.isOurs = headers.get("X-Attempt-Id") == attempt_.id;
+    if (status == statusOk && !attempt_.isOurs)
+        context_.metrics.mismatchedAnswers.fetch_add(1);
+    std::int64_t prompt = std::strtoll(std::string(headers.get("X-Prompt-Tokens")).c_str(), nullptr, 10);
+    if (prompt > 0 && !answer_.hasOutput())
+        promptTokens_ = prompt;
+}
+
+bool ChatExchange::mustPause()
+{
+    if (!hasBegunStream_ || responder_->unsentBytes() <= pauseAboveBytes)
+        return false;
+    isPaused_.store(true);
+    // The writes may have ended meanwhile, and then nobody would resume.
+    if (responder_->unsentBytes() > resumeBelowBytes)
+        return true;
+    isPaused_.store(false);
+    return false;
+}
+
+StreamFlow ChatExchange::onData(std::string_view bytes)
+{
+    if (hasCallerGone_.load())
+        return StreamFlow::Cancel;
+    if (attempt_.status != statusOk) {
+        attempt_.errorText.append(
+            bytes.substr(0, maxErrorBytes - std::min(maxErrorBytes, attempt_.errorText.size())));
+        return StreamFlow::Continue;
+    }
+    if (!attempt_.isOurs)
+        return StreamFlow::Cancel;
+    if (mustPause())
+        return StreamFlow::Pause;
+    attempt_.reader.append(bytes);
+    return takeEvents();
+}
+
+StreamFlow ChatExchange::takeEvents()
+{
+    std::string output;
+    StreamFlow flow = attempt_.reader.isBroken() ? StreamFlow::Cancel : StreamFlow::Continue;
+    while (flow == StreamFlow::Continue && !answer_.isFinished()) {
+        std::optional<StreamEvent> event = attempt_.reader.next();
+        if (!event)
+            break;
+        switch (answer_.take(*event)) {
+        case EventVerdict::Forward:
+            output += "data: ";
+            output += event->data;
+            output += "\n\n";
+            break;
+        case EventVerdict::Duplicate:
+            break;
+        case EventVerdict::Finished:
+            output += "data: [DONE]\n\n";
+            break;
+        case EventVerdict::Gap:
+            flow = StreamFlow::Cancel;
+            break;
+        }
+    }
+    forward(std::move(output));
+    return flow;
+}
+
+void ChatExchange::forward(std::string output)
+{
+    if (!request_.wantsStream || output.empty())
+        return;
+    if (!hasBegunStream_) {
+        hasBegunStream_ = true;
+        HttpHeaders headers;
+        headers.add("Content-Type", "text/event-stream");
+        headers.add("Cache-Control", "no-cache");
+        headers.add("X-Request-Id", completionId_);
+        responder_->beginStream(statusOk, std::move(headers));
+    }
+    responder_->writeStream(std::move(output));
+}
+
+void ChatExchange::onAttemptDone(const HttpCallResult& result)
+{
+    const EndpointPointer& endpoint = placement_.endpoint();
+    tracker_.onAttempt(result, answer_.hasOutput());
+    if (answer_.isFinished()) {
+        endpoint->onAttemptSucceeded();
+        finishWhole();
+        return;
+    }
+    if (hasCallerGone_.load()) {
+        context_.metrics.callersGone.fetch_add(1);
+        end();
+        return;
+    }
+    bool isCallersFault = result.end == CallEnd::Complete && result.status >= 400 && result.status < 500;
+    if (isCallersFault && !answer_.hasOutput()) {
+        responder_->send(jsonResponse(result.status, attempt_.errorText));
+        end();
+        return;
+    }
+    LogEvent("attempt.failed", Severity::Warning)
+        .with("request", completionId_)
+        .with("endpoint", endpoint->name())
+        .with("end", callEndNames.name(result.end))
+        .with("status", result.status)
+        .with("offset", answer_.nextOffset());
+    endpoint->onAttemptFailed(context_.clock.now());
+    query_.excluded.insert(endpoint->name());
+    if (tryAgain())
+        return;
+    bool hasNotRun = tracker_.state() == RunState::NotRun;
+    finishWithError({hasNotRun ? ErrorKind::NoCapacity : ErrorKind::EndpointFailed,
+        hasNotRun ? "no endpoint took the request; try again later"
+                  : "the endpoints failed before the answer was whole; ask again"});
+}
+
+bool ChatExchange::tryAgain()
+{
+    Instant now = context_.clock.now();
+    bool isLate = !answer_.hasOutput() && now >= deadline_;
+    if (attempts_ >= maxAttempts || isLate || !context_.retries.tryTake())
+        return false;
+    (answer_.hasOutput() ? context_.metrics.resumes : context_.metrics.retries).fetch_add(1);
+    placement_.release();
+    query_.outputTokens = std::max<std::int64_t>(1, request_.maxTokens - answer_.nextOffset());
+    queue(answer_.hasOutput() ? now + resumeWait : deadline_);
+    return true;
+}
+
+std::string ChatExchange::wholeAnswer() const
+{
+    std::string reason = answer_.finishReason();
+    Json answer;
+    answer["id"] = completionId_;
+    answer["object"] = "chat.completion";
+    answer["created"] = context_.clock.unixMillis() / 1000;
+    answer["model"] = request_.model;
+    answer["choices"] = {{{"index", 0}, {"message", {{"role", "assistant"}, {"content", answer_.text()}}},
+        {"finish_reason", reason.empty() ? "stop" : reason}}};
+    answer["usage"] = {{"prompt_tokens", promptTokens_}, {"completion_tokens", answer_.nextOffset()},
+        {"total_tokens", promptTokens_ + answer_.nextOffset()}};
+    return answer.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void ChatExchange::finishWhole()
+{
+    checkInvariant(answer_.isFinished(), "chat.whole_answer_has_its_marker");
+    context_.metrics.whole.fetch_add(1);
+    if (request_.wantsStream)
+        responder_->endStream();
+    else
+        responder_->send(jsonResponse(statusOk, wholeAnswer()));
+    end();
+}
+
+void ChatExchange::finishWithError(const Error& error)
+{
+    RunState run = tracker_.state();
+    if (run == RunState::NotRun)
+        context_.metrics.refusedNotRun.fetch_add(1);
+    else if (run == RunState::OutcomeUnknown)
+        context_.metrics.outcomeUnknown.fetch_add(1);
+    else
+        context_.metrics.cut.fetch_add(1);
+    if (hasBegunStream_) {
+        // Without the terminal marker the caller's library sees that the answer is not whole.
+        responder_->writeStream("data: " + errorBody(error, run) + "\n\n");
+        responder_->endStream();
+    } else
+        responder_->send(errorResponse(error, run, run == RunState::NotRun ? 1 : 0));
+    end();
+}
+
+void ChatExchange::end()
+{
+    if (answer_.hasOutput()) {
+        context_.metrics.tokens.fetch_add(static_cast<std::uint64_t>(answer_.nextOffset()));
+        context_.usage.add(
+            terms_.team, {1, promptTokens_, answer_.nextOffset()}, context_.clock.unixMillis());
+    }
+    context_.metrics.active.fetch_sub(1);
+    placement_.release();
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/dispatch/chat_exchange.h
@@ -0,0 +1,82 @@
+// One chat request from its arrival to the end of its answer: queueing, attempts, resumption, output.
+//
+//     std::make_shared<ChatExchange>(context, terms, request, responder)->start();
+//
+// Each attempt has its own id and its own call; a stream that breaks or falls silent goes on at another
+// engine from the next token. Keeps itself alive until the answer has ended. Callbacks come one at a time;
+// only `cancel` of a caller that has gone comes from another thread.
+#pragma once
+
+#include "ragwortwinch/dispatch/answer_assembler.h"
+#include "ragwortwinch/dispatch/chat_request.h"
+#include "ragwortwinch/dispatch/dispatch_context.h"
+#include "ragwortwinch/dispatch/event_reader.h"
+#include "ragwortwinch/dispatch/run_state.h"
+#include "ragwortwinch/net/http_server.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace ragwortwinch {
+
+class ChatExchange : public std::enable_shared_from_this<ChatExchange> {
+public:
+    ChatExchange(const DispatchContext& context, RequestTerms terms, ChatRequest request,
+        std::shared_ptr<HttpResponder> responder);
+
+    void start();
+
+private:
+    // What belongs to the current attempt only.
+    struct Attempt {
+        std::string id;
+        EventReader reader;
+        int status = 0;
+        bool isOurs = false;
+        std::string errorText;
+    };
+
+    void queue(Instant deadline);
+    void onPlaced(Placement placement);
+    void beginAttempt();
+    HttpCall makeCall();
+    std::string upstreamBody() const;
+    void onHeaders(int status, const HttpHeaders& headers);
+    StreamFlow onData(std::string_view bytes);
+    StreamFlow takeEvents();
+    void onAttemptDone(const HttpCallResult& result);
+    bool tryAgain();
+    void forward(std::string output);
+    void finishWhole();
+    void finishWithError(const Error& error);
+    void end();
+    bool mustPause();
+    std::string wholeAnswer() const;
+
+    static constexpr int maxAttempts = 6;
+    static constexpr std::size_t pauseAboveBytes = 256 * 1024;
+    static constexpr std::size_t resumeBelowBytes = 64 * 1024;
+
+    DispatchContext context_;
+    RequestTerms terms_;
+    ChatRequest request_;
+    std::shared_ptr<HttpResponder> responder_;
+    RouteQuery query_;
+    std::string completionId_;
+    Instant deadline_;
+    Placement placement_;
+    Attempt attempt_;
+    AnswerAssembler answer_;
+    RunTracker tracker_;
+    int attempts_ = 0;
+    std::int64_t promptTokens_ = 0;
+    bool hasBegunStream_ = false;
+    std::atomic<bool> isPaused_{false};
+    std::atomic<bool> hasCallerGone_{false};
+    std::mutex handleMutex_;
+    std::shared_ptr<HttpCallHandle> handle_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/dispatch/claim_protocol.cc
@@ -0,0 +1,157 @@
+#include "ragwortwinch/dispatch/claim_protocol.h"
+
+#include "ragwortwinch/base/digest.h"
+#include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/base/json.h"
+
+namespace ragwortwinch {
+
+namespace {
+
+// A longer answer is recorded without its body.
+constexpr std::size_t maxRecordedBytes = 64 * 1024;
+
+} // namespace
+
+ClaimProtocol::ClaimProtocol(const std::string& team, const std::string& idempotencyKey, ClaimTerms terms)
+    : key_("once/" + sha256Hex(team).substr(0, 16) + "/" + sha256Hex(idempotencyKey))
+    , terms_(std::move(terms))
+{
+}
+
+std::string ClaimProtocol::claimValue(const char* state) const
+{
+    return Json({{"attempt", terms_.attemptId}, {"request", terms_.requestHash}, {"state", state},
+                    {"latest_end", terms_.latestEnd}})
+        .dump();
+}
+
+StoreOps ClaimProtocol::start() { return claim(); }
+
+StoreOps ClaimProtocol::claim()
+{
+    step_ = Step::Claiming;
+    pendingOp_ = ids_.next();
+    return {StoreOp::put(pendingOp_, key_, claimValue("running"), 0, terms_.retention)};
+}
+
+StoreOps ClaimProtocol::readBack()
+{
+    step_ = Step::ReadingBack;
+    pendingOp_ = ids_.next();
+    return {StoreOp::get(pendingOp_, key_)};
+}
+
+StoreOps ClaimProtocol::end(ClaimVerdict verdict)
+{
+    verdict_ = verdict;
+    step_ = verdict == ClaimVerdict::Proceed ? Step::Claimed : Step::Settled;
+    return {};
+}
+
+StoreOps ClaimProtocol::onAnswer(const StoreAnswer& answer, std::int64_t unixMillis)
+{
+    if (answer.opId != pendingOp_)
+        return {};
+    pendingOp_ = 0;
+    switch (step_) {
+    case Step::Claiming:
+        if (answer.isOk()) {
+            revision_ = answer.revision;
+            return end(ClaimVerdict::Proceed);
+        }
+        if (answer.status == StoreStatus::Unavailable)
+            return end(ClaimVerdict::StoreDown);
+        return readBack();
+    case Step::ReadingBack:
+        return onReadBack(answer, unixMillis);
+    case Step::Recording:
+        // A lost answer: repeating is safe, since the comparison lets the write through once.
+        if (answer.isOutage() && ++tries_ < maxTries)
+            return write(finalValue_);
+        step_ = Step::Settled;
+        return {};
+    case Step::Claimed:
+    case Step::Settled:
+        return {};
+    }
+    return {};
+}
+
+StoreOps ClaimProtocol::onReadBack(const StoreAnswer& answer, std::int64_t unixMillis)
+{
+    if (answer.isOutage()) {
+        if (++tries_ < maxTries)
+            return readBack();
+        return end(ClaimVerdict::StoreDown);
+    }
+    if (answer.status == StoreStatus::NotFound) {
+        // The lost write has not arrived, or another attempt was abandoned; it may still arrive, so claim
+        // again.
+        if (++tries_ < maxTries)
+            return claim();
+        return end(ClaimVerdict::StoreDown);
+    }
+    Json value = parseJsonOrDiscard(answer.value);
+    if (stringMember(value, "attempt") == terms_.attemptId) {
+        revision_ = answer.revision;
+        return end(ClaimVerdict::Proceed);
+    }
+    judgeOther(answer.value, unixMillis);
+    return {};
+}
+
+void ClaimProtocol::judgeOther(const std::string& text, std::int64_t unixMillis)
+{
+    Json value = parseJsonOrDiscard(text);
+    std::string state = stringMember(value, "state");
+    if (stringMember(value, "request") != terms_.requestHash)
+        end(ClaimVerdict::DifferentRequest);
+    else if (state == "ran") {
+        outcome_.status = static_cast<int>(integerMember(value, "status"));
+        outcome_.contentType = stringMember(value, "content_type");
+        outcome_.body = stringMember(value, "body");
+        end(ClaimVerdict::Replay);
+    } else if (state == "unknown" || unixMillis > integerMember(value, "latest_end"))
+        end(ClaimVerdict::OutcomeUnknown);
+    else
+        end(ClaimVerdict::StillRunning);
+}
+
+StoreOps ClaimProtocol::write(std::string value)
+{
+    checkInvariant(verdict_ == ClaimVerdict::Proceed, "claims.outcome_only_of_own_claim");
+    finalValue_ = std::move(value);
+    step_ = Step::Recording;
+    pendingOp_ = ids_.next();
+    if (finalValue_.empty())
+        return {StoreOp::remove(pendingOp_, key_, revision_)};
+    return {StoreOp::put(pendingOp_, key_, finalValue_, revision_, terms_.retention)};
+}
+
+StoreOps ClaimProtocol::record(const RecordedOutcome& outcome)
+{
+    tries_ = 0;
+    Json value;
+    value["attempt"] = terms_.attemptId;
+    value["request"] = terms_.requestHash;
+    value["state"] = "ran";
+    value["status"] = outcome.status;
+    value["content_type"] = outcome.contentType;
+    value["body"] = outcome.body.size() <= maxRecordedBytes ? outcome.body : std::string();
+    return write(value.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+StoreOps ClaimProtocol::recordUnknown()
+{
+    tries_ = 0;
+    return write(claimValue("unknown"));
+}
+
+StoreOps ClaimProtocol::abandon()
+{
+    tries_ = 0;
+    return write({});
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/dispatch/dispatch_context.h
@@ -0,0 +1,42 @@
+// What every request needs from the node: clients, queues, counters. All references outlive every request.
+#pragma once
+
+#include "ragwortwinch/admission/retry_budget.h"
+#include "ragwortwinch/base/digest.h"
+#include "ragwortwinch/base/time.h"
+#include "ragwortwinch/config/rules.h"
+#include "ragwortwinch/dispatch/dispatch_metrics.h"
+#include "ragwortwinch/dispatch/scheduler.h"
+#include "ragwortwinch/net/http_client.h"
+#include "ragwortwinch/store/key_value_store.h"
+#include "ragwortwinch/usage/usage_counter.h"
+
+#include <functional>
+#include <string>
+
+namespace ragwortwinch {
+
+struct DispatchContext {
+    const Clock& clock;
+    HttpClient& upstream;
+    KeyValueStore& store;
+    Scheduler& scheduler;
+    RetryBudget& retries;
+    RandomIds& ids;
+    UsageCounter& usage;
+    DispatchMetrics& metrics;
+};
+
+// Whose request it is and what the rules say of it, as of its arrival.
+struct RequestTerms {
+    // Empty on an open route.
+    std::string team;
+    std::int64_t weight = 1;
+    std::int64_t maxConcurrent = 0;
+    RouteRule route;
+    Limits limits;
+    // Asked again when a queued request is dispatched: whether the key still holds.
+    std::function<bool()> isKeyValid;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/dispatch/plain_exchange.cc
@@ -0,0 +1,255 @@
+#include "ragwortwinch/dispatch/plain_exchange.h"
+
+#include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/dispatch/error_response.h"
+
+#include <algorithm>
+#include <array>
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr std::string_view idempotencyHeader = "Idempotency-Key";
+// What of a caller's headers reaches a plain service. Keys and cookies are not among them.
+constexpr std::array<std::string_view, 4> passedHeaders{
+    "Content-Type", "Accept", "Accept-Language", idempotencyHeader};
+// An attempt has surely ended this long after its deadline.
+constexpr Millis claimSlack{5000};
+
+} // namespace
+
+PlainExchange::PlainExchange(const DispatchContext& context, RequestTerms terms, HttpRequest request,
+    std::shared_ptr<HttpResponder> responder)
+    : context_(context)
+    , terms_(std::move(terms))
+    , request_(std::move(request))
+    , responder_(std::move(responder))
+    , attemptId_(context.ids.next())
+    , deadline_(context.clock.now() + terms_.route.deadline)
+{
+    query_.service = terms_.route.service;
+}
+
+void PlainExchange::start()
+{
+    context_.metrics.requests.fetch_add(1);
+    context_.metrics.active.fetch_add(1);
+    context_.retries.onFirstTry();
+    std::string key(request_.headers.get(idempotencyHeader));
+    if (terms_.route.isIdempotent || key.empty()) {
+        queue();
+        return;
+    }
+    ClaimTerms claimTerms;
+    claimTerms.requestHash
+        = sha256Hex(request_.method + "\n" + request_.path + "\n" + request_.query + "\n" + request_.body);
+    claimTerms.attemptId = attemptId_;
+    claimTerms.retention = terms_.limits.claimRetention;
+    claimTerms.latestEnd = context_.clock.unixMillis() + (terms_.route.deadline * 2 + claimSlack).count();
+    claim_.emplace(terms_.team, key, std::move(claimTerms));
+    runClaim(claim_->start());
+}
+
+void PlainExchange::runClaim(StoreOps ops)
+{
+    std::shared_ptr<PlainExchange> self = shared_from_this();
+    for (StoreOp& op : ops)
+        context_.store.execute(
+            std::move(op), [self](const StoreAnswer& storeAnswer) { self->onClaimAnswer(storeAnswer); });
+}
+
+void PlainExchange::onClaimAnswer(const StoreAnswer& storeAnswer)
+{
+    StoreOps ops = claim_->onAnswer(storeAnswer, context_.clock.unixMillis());
+    if (!ops.empty()) {
+        runClaim(std::move(ops));
+        return;
+    }
+    if (finalResponse_) {
+        if (claim_->isSettled())
+            answer(std::move(*finalResponse_));
+        return;
+    }
+    if (claim_->verdict() != ClaimVerdict::Pending)
+        onVerdict();
+}
+
+void PlainExchange::onVerdict()
+{
+    switch (claim_->verdict()) {
+    case ClaimVerdict::Pending:
+        return;
+    case ClaimVerdict::Proceed:
+        queue();
+        return;
+    case ClaimVerdict::Replay: {
+        context_.metrics.replays.fetch_add(1);
+        HttpResponse response;
+        response.status = claim_->outcome().status;
+        response.headers.add("Content-Type", claim_->outcome().contentType);
+        response.headers.add("Idempotency-Replayed", "true");
+        response.body = claim_->outcome().body;
+        answer(std::move(response));
+        return;
+    }
+    case ClaimVerdict::StillRunning:
+        answer(errorResponse({ErrorKind::StillRunning,
+                                 "the first request with this key is still running; repeat with the same key "
+                                 "in a few seconds"},
+            RunState::OutcomeUnknown, 2));
+        return;
+    case ClaimVerdict::OutcomeUnknown:
+        answer(errorResponse({ErrorKind::OutcomeUnknown,
+                                 "the first request with this key ended without a known outcome and is not "
+                                 "repeated; look into the service's own records"},
+            RunState::OutcomeUnknown));
+        return;
+    case ClaimVerdict::DifferentRequest:
+        answer(errorResponse(
+            {ErrorKind::Conflict,
+                "this Idempotency-Key was used with a different request; use a new key for a new request"},
+            RunState::NotRun));
+        return;
+    case ClaimVerdict::StoreDown:
+        context_.metrics.refusedNotRun.fetch_add(1);
+        answer(errorResponse(
+            {ErrorKind::StoreUnavailable,
+                "the store that keeps idempotency keys can't be asked now; repeat with the same key later"},
+            RunState::NotRun, 2));
+        return;
+    }
+}
+
+void PlainExchange::queue()
+{
+    std::shared_ptr<PlainExchange> self = shared_from_this();
+    context_.scheduler.submit(
+        {query_, terms_.team, terms_.weight, terms_.maxConcurrent, deadline_},
+        [self](Placement placement) { self->onPlaced(std::move(placement)); },
+        [self](const Error& error) { self->refuse(error); });
+}
+
+void PlainExchange::onPlaced(Placement placement)
+{
+    placement_ = std::move(placement);
+    if (!terms_.isKeyValid()) {
+        refuse({ErrorKind::Unauthorized,
+            "the key was withdrawn while the request waited; ask your operators for a new one"});
+        return;
+    }
+    ++attempts_;
+    bool isRepeat = tracker_.state() != RunState::NotRun;
+    checkInvariant(terms_.route.isIdempotent || !isRepeat, "plain.never_sent_twice");
+    std::shared_ptr<PlainExchange> self = shared_from_this();
+    context_.upstream.start(
+        makeCall(), [self](const HttpCallResult& result) { self->onAttemptDone(result); });
+}
+
+HttpCall PlainExchange::makeCall() const
+{
+    std::string target = percentEncode(request_.path) + (request_.query.empty() ? "" : "?" + request_.query);
+    HttpCallBuilder builder(
+        request_.method, "http://" + placement_.endpoint()->rule().address.text() + target);
+    for (std::string_view name : passedHeaders) {
+        std::string_view value = request_.headers.get(name);
+        if (!value.empty())
+            builder.header(std::string(name), std::string(value));
+    }
+    builder.header("X-Attempt-Id", attemptId_);
+    if (!terms_.team.empty())
+        builder.header("X-Team", terms_.team);
+    Millis left = std::max(Millis(100), std::chrono::duration_cast<Millis>(deadline_ - context_.clock.now()));
+    return builder.body(request_.body)
+        .connectTimeout(std::min(left, Millis(1000)))
+        .totalTimeout(left)
+        .freshConnection(!terms_.route.isIdempotent)
+        .build();
+}
+
+void PlainExchange::onAttemptDone(const HttpCallResult& result)
+{
+    const EndpointPointer& endpoint = placement_.endpoint();
+    std::string_view echoed = result.headers.get("X-Attempt-Id");
+    bool isOthers = result.end == CallEnd::Complete && !echoed.empty() && echoed != attemptId_;
+    HttpCallResult judged = result;
+    if (isOthers) {
+        context_.metrics.mismatchedAnswers.fetch_add(1);
+        judged.end = CallEnd::Broken;
+    }
+    tracker_.onAttempt(judged, false);
+    if (tracker_.state() == RunState::Ran) {
+        endpoint->onAttemptSucceeded();
+        finishRan(judged);
+        return;
+    }
+    endpoint->onAttemptFailed(context_.clock.now());
+    LogEvent("attempt.failed", Severity::Warning)
+        .with("request", attemptId_)
+        .with("endpoint", endpoint->name())
+        .with("end", callEndNames.name(judged.end))
+        .with("status", judged.status);
+    query_.excluded.insert(endpoint->name());
+    bool maySendAgain = tracker_.state() == RunState::NotRun || terms_.route.isIdempotent;
+    if (maySendAgain && attempts_ < maxAttempts && context_.clock.now() < deadline_
+        && context_.retries.tryTake()) {
+        context_.metrics.retries.fetch_add(1);
+        placement_.release();
+        queue();
+        return;
+    }
+    if (tracker_.state() == RunState::NotRun)
+        refuse({ErrorKind::NoCapacity, "no endpoint took the request; try again later"});
+    else
+        refuse({ErrorKind::OutcomeUnknown,
+            "the endpoint gave no whole answer, so the request may have run; look into the service's own "
+            "records before repeating it"});
+}
+
+void PlainExchange::finishRan(const HttpCallResult& result)
+{
+    context_.metrics.whole.fetch_add(1);
+    context_.usage.add(terms_.team, {1, 0, 0}, context_.clock.unixMillis());
+    HttpResponse response;
+    response.status = result.status;
+    std::string contentType(result.headers.get("Content-Type"));
+    if (!contentType.empty())
+        response.headers.add("Content-Type", contentType);
+    response.body = result.body;
+    StoreOps ops;
+    if (claim_)
+        ops = claim_->record({result.status, contentType, result.body});
+    settleThenAnswer(std::move(ops), std::move(response));
+}
+
+void PlainExchange::refuse(const Error& error)
+{
+    RunState run = tracker_.state();
+    (run == RunState::NotRun ? context_.metrics.refusedNotRun : context_.metrics.outcomeUnknown).fetch_add(1);
+    StoreOps ops;
+    bool hasClaim = claim_ && claim_->verdict() == ClaimVerdict::Proceed;
+    if (hasClaim)
+        ops = run == RunState::NotRun ? claim_->abandon() : claim_->recordUnknown();
+    settleThenAnswer(std::move(ops), errorResponse(error, run, run == RunState::NotRun ? 1 : 0));
+}
+
+void PlainExchange::settleThenAnswer(StoreOps ops, HttpResponse response)
+{
+    placement_.release();
+    if (ops.empty()) {
+        answer(std::move(response));
+        return;
+    }
+    finalResponse_ = std::move(response);
+    runClaim(std::move(ops));
+}
+
+void PlainExchange::answer(HttpResponse response)
+{
+    context_.metrics.active.fetch_sub(1);
+    placement_.release();
+    responder_->send(std::move(response));
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/dispatch/scheduler.cc
@@ -0,0 +1,191 @@
+#include "ragwortwinch/dispatch/scheduler.h"
+
+#include "ragwortwinch/base/invariant.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace ragwortwinch {
+
+Placement::Placement(Scheduler& scheduler, std::string team, Reservation reservation)
+    : scheduler_(&scheduler)
+    , team_(std::move(team))
+    , reservation_(std::move(reservation))
+{
+}
+
+Placement::~Placement() { release(); }
+
+Placement::Placement(Placement&& other) noexcept
+    : scheduler_(std::exchange(other.scheduler_, nullptr))
+    , team_(std::move(other.team_))
+    , reservation_(std::move(other.reservation_))
+{
+}
+
+Placement& Placement::operator=(Placement&& other) noexcept
+{
+    if (this != &other) {
+        release();
+        scheduler_ = std::exchange(other.scheduler_, nullptr);
+        team_ = std::move(other.team_);
+        reservation_ = std::move(other.reservation_);
+    }
+    return *this;
+}
+
+void Placement::release()
+{
+    reservation_.release();
+    if (Scheduler* scheduler = std::exchange(scheduler_, nullptr))
+        scheduler->finish(team_);
+}
+
+Scheduler::Scheduler(const Clock& clock, EndpointTable& endpoints, Router& router)
+    : clock_(clock)
+    , endpoints_(endpoints)
+    , router_(router)
+{
+}
+
+void Scheduler::setLimits(const Limits& limits)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    limits_ = limits;
+}
+
+std::int64_t Scheduler::shareOf(std::int64_t maxConcurrent) const
+{
+    std::int64_t nodes = std::max<std::int64_t>(1, nodeCount_.load());
+    return std::max<std::int64_t>(1, (maxConcurrent + nodes - 1) / nodes);
+}
+
+Reservation Scheduler::reserveLocked(const RouteQuery& query, Instant now)
+{
+    EndpointPointer endpoint = router_.choose(query, endpoints_.ofService(query.service), limits_, now);
+    if (!endpoint)
+        return {};
+    router_.onDispatched(query, *endpoint);
+    return Reservation(endpoint, endpoint->isEngine() ? query.pieces(limits_.tokensPerPiece) : 0);
+}
+
+Reservation Scheduler::reserve(const RouteQuery& query)
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    return reserveLocked(query, clock_.now());
+}
+
+void Scheduler::submit(ScheduledRequest request, OnPlaced onPlaced, OnRefused onRefused)
+{
+    Calls calls;
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        ServiceQueue& queue = queues_[request.query.service];
+        bool isFull = static_cast<std::int64_t>(queue.order.sizeOf(request.team)) >= limits_.queuePerTeam;
+        if (isFull) {
+            calls.emplace_back([onRefused = std::move(onRefused), limit = limits_.queuePerTeam] {
+                onRefused({ErrorKind::OverLimit,
+                    fmt::format(
+                        "{} requests of this team wait already; send fewer at once or try again later",
+                        limit)});
+            });
+        } else {
+            std::uint64_t id = nextId_++;
+            std::int64_t cost
+                = std::max<std::int64_t>(1, request.query.promptTokens + request.query.outputTokens);
+            queue.order.push({id, request.team, request.weight, cost, request.deadline});
+            queue.maxConcurrent[request.team] = request.maxConcurrent;
+            queue.waiting.emplace(id, Waiting{std::move(request), std::move(onPlaced), std::move(onRefused)});
+            ++queued_;
+            pumpService(queue, clock_.now(), calls);
+        }
+    }
+    for (const std::function<void()>& call : calls)
+        call();
+}
+
+bool Scheduler::mayStart(const ServiceQueue& queue, const std::string& team) const
+{
+    auto limit = queue.maxConcurrent.find(team);
+    if (limit == queue.maxConcurrent.end() || limit->second <= 0)
+        return true;
+    auto running = running_.find(team);
+    return running == running_.end() || running->second < shareOf(limit->second);
+}
+
+void Scheduler::pumpService(ServiceQueue& queue, Instant now, Calls& calls)
+{
+    for (const QueuedRequest& late : queue.order.takeExpired(now)) {
+        auto found = queue.waiting.find(late.id);
+        calls.emplace_back([onRefused = std::move(found->second.onRefused)] {
+            onRefused({ErrorKind::NoCapacity,
+                "no endpoint had room before the request's deadline; try again later"});
+        });
+        queue.waiting.erase(found);
+        --queued_;
+    }
+    auto mayStartTeam = [&](const std::string& team) { return mayStart(queue, team); };
+    while (const QueuedRequest* next = queue.order.front(mayStartTeam)) {
+        auto found = queue.waiting.find(next->id);
+        checkInvariant(found != queue.waiting.end(), "scheduler.queued_request_waits");
+        Reservation reservation = reserveLocked(found->second.request.query, now);
+        if (!reservation)
+            return;
+        queue.order.popFront();
+        std::string team = found->second.request.team;
+        ++running_[team];
+        auto placement = std::make_shared<Placement>(*this, team, std::move(reservation));
+        calls.emplace_back(
+            [onPlaced = std::move(found->second.onPlaced), placement] { onPlaced(std::move(*placement)); });
+        queue.waiting.erase(found);
+        --queued_;
+    }
+}
+
+void Scheduler::pump()
+{
+    Calls calls;
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        if (queued_ > 0) {
+            for (auto& entry : queues_)
+                pumpService(entry.second, clock_.now(), calls);
+        }
+    }
+    for (const std::function<void()>& call : calls)
+        call();
+}
+
+void Scheduler::finish(const std::string& team)
+{
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        auto found = running_.find(team);
+        checkInvariant(found != running_.end() && found->second > 0, "scheduler.running_balances");
+        if (found != running_.end() && --found->second <= 0)
+            running_.erase(found);
+    }
+    pump();
+}
+
+std::size_t Scheduler::queued() const
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    return queued_;
+}
+
+std::int64_t Scheduler::runningOf(const std::string& team) const
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto found = running_.find(team);
+    return found == running_.end() ? 0 : found->second;
+}
+
+std::map<std::string, std::int64_t> Scheduler::runningTeams() const
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    return running_;
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/entry/entry_handler.h
@@ -0,0 +1,53 @@
+// What callers talk to: which address to use, chat completions, models, routes to plain services.
+//
+//     auto handler = std::make_shared<EntryHandler>(place, context, config, directory, gate);
+//
+// Thread-safe: called from every request thread; reads configuration and directory without locks.
+#pragma once
+
+#include "ragwortwinch/base/snapshot.h"
+#include "ragwortwinch/dispatch/dispatch_context.h"
+#include "ragwortwinch/dispatch/run_state.h"
+#include "ragwortwinch/entry/active_config.h"
+#include "ragwortwinch/entry/keyed_gate.h"
+#include "ragwortwinch/entry/vm_directory.h"
+#include "ragwortwinch/net/http_server.h"
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+namespace ragwortwinch {
+
+struct EntryPlace {
+    std::string availabilityZone;
+    std::string region;
+};
+
+class EntryHandler final : public HttpHandler {
+public:
+    // All references outlive the handler.
+    EntryHandler(EntryPlace place, const DispatchContext& context, const Snapshot<ActiveConfig>& config,
+        const Snapshot<VmDirectory>& directory, const KeyedGate& gate);
+
+    void handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) override;
+    // From now on refuses new requests, as not run; running ones go on.
+    void refuseNew() { isRefusing_.store(true); }
+
+private:
+    Result<RequestTerms> authorize(const HttpRequest& request);
+    HttpResponse entryAnswer(const HttpRequest& request) const;
+    HttpResponse modelList() const;
+    void startChat(
+        const HttpRequest& request, RequestTerms terms, const std::shared_ptr<HttpResponder>& responder);
+    void refuse(const std::shared_ptr<HttpResponder>& responder, const Error& error);
+
+    EntryPlace place_;
+    DispatchContext context_;
+    const Snapshot<ActiveConfig>& config_;
+    const Snapshot<VmDirectory>& directory_;
+    const KeyedGate& gate_;
+    std::atomic<bool> isRefusing_{false};
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/fleet/endpoint_order.h
@@ -0,0 +1,64 @@
+// An order to one endpoint, or to the platform's interface that provides endpoints.
+#pragma once
+
+#include "ragwortwinch/base/name_table.h"
+
+#include <cstdint>
+#include <string>
+
+namespace ragwortwinch {
+
+enum class OrderKind {
+    SetRole,
+    LoadModel,
+    Drain,
+    Resume,
+    // To the platform: provide or give back an endpoint.
+    Provision,
+    Release,
+};
+
+inline constexpr NameTable<OrderKind, 6> orderKindNames{{{
+    {OrderKind::SetRole, "set_role"},
+    {OrderKind::LoadModel, "load_model"},
+    {OrderKind::Drain, "drain"},
+    {OrderKind::Resume, "resume"},
+    {OrderKind::Provision, "provision"},
+    {OrderKind::Release, "release"},
+}}};
+
+struct EndpointOrder {
+    // Endpoint name; for orders to the platform, the endpoint's kind and zone.
+    std::string endpoint;
+    OrderKind kind = OrderKind::SetRole;
+    std::string argument;
+    // Grows with each order of a zone, over all holders.
+    std::uint64_t number = 0;
+    // The fencing number under which it is sent.
+    std::uint64_t epoch = 0;
+    bool isDone = false;
+
+    bool isToPlatform() const { return kind == OrderKind::Provision || kind == OrderKind::Release; }
+    bool isSameOrder(const EndpointOrder& other) const
+    {
+        return endpoint == other.endpoint && kind == other.kind && argument == other.argument
+            && number == other.number;
+    }
+};
+
+// What is known after an order was sent.
+enum class SendOutcome {
+    Applied,
+    // The endpoint knows a greater fencing number, or can't carry out the order: it had no effect.
+    Refused,
+    // No whole answer: it may have been applied.
+    Unknown,
+};
+
+inline constexpr NameTable<SendOutcome, 3> sendOutcomeNames{{{
+    {SendOutcome::Applied, "applied"},
+    {SendOutcome::Refused, "refused"},
+    {SendOutcome::Unknown, "unknown"},
+}}};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/fleet/order_journal.cc
@@ -0,0 +1,238 @@
+#include "ragwortwinch/fleet/order_journal.h"
+
+#include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/base/json.h"
+#include "ragwortwinch/base/log_event.h"
+
+#include <algorithm>
+
+namespace ragwortwinch {
+
+OrderJournal::OrderJournal(std::string zone, std::string writer, OpIds& ids, Millis resendInterval)
+    : zone_(std::move(zone))
+    , writer_(std::move(writer))
+    , ids_(ids)
+    , resendInterval_(resendInterval)
+{
+}
+
+SubmitResult OrderJournal::submit(EndpointOrder order)
+{
+    if (phase_ == Phase::WithoutAuthority || phase_ == Phase::Reading)
+        return SubmitResult::NoAuthority;
+    auto known = orders_.find(order.endpoint);
+    bool isUnfinished = known != orders_.end() && !known->second.isDone;
+    bool isStaged = std::any_of(staged_.begin(), staged_.end(),
+        [&](const EndpointOrder& other) { return other.endpoint == order.endpoint; });
+    if (isUnfinished || isStaged)
+        return SubmitResult::Busy;
+    staged_.push_back(std::move(order));
+    return SubmitResult::Accepted;
+}
+
+bool OrderJournal::isSettled() const
+{
+    bool isAnyUnfinished
+        = std::any_of(orders_.begin(), orders_.end(), [](const auto& entry) { return !entry.second.isDone; });
+    return staged_.empty() && !needsWrite_ && pendingOp_ == 0 && !isAnyUnfinished;
+}
+
+StoreOps OrderJournal::tick(Instant now, const Authority& authority)
+{
+    if (authority.epoch != epoch_) {
+        // Authority was gained, lost, or lost and gained again: nothing in memory counts any more.
+        epoch_ = authority.epoch;
+        phase_ = epoch_ ? Phase::Reading : Phase::WithoutAuthority;
+        pendingOp_ = 0;
+        nextTry_ = now;
+        nextSend_.clear();
+        staged_.clear();
+    }
+    if (pendingOp_ != 0 || now < nextTry_)
+        return {};
+    if (phase_ == Phase::Reading || phase_ == Phase::Doubtful)
+        return read(now);
+    if (phase_ == Phase::Ready && (needsWrite_ || !staged_.empty()))
+        return write(now);
+    return {};
+}
+
+StoreOps OrderJournal::read(Instant)
+{
+    pendingOp_ = ids_.next();
+    return {StoreOp::get(pendingOp_, key())};
+}
+
+StoreOps OrderJournal::write(Instant)
+{
+    for (EndpointOrder& order : staged_) {
+        order.number = ++lastNumber_;
+        order.epoch = epoch_;
+        orders_[order.endpoint] = std::move(order);
+    }
+    staged_.clear();
+    needsWrite_ = false;
+    phase_ = Phase::Writing;
+    pendingOp_ = ids_.next();
+    return {StoreOp::put(pendingOp_, key(), serialize(), revision_)};
+}
+
+std::string OrderJournal::serialize()
+{
+    writeTag_ = writer_ + "/" + std::to_string(epoch_) + "/" + std::to_string(++writeCount_);
+    Json document;
+    document["tag"] = writeTag_;
+    document["last_number"] = lastNumber_;
+    Json list = Json::array();
+    for (const auto& entry : orders_) {
+        const EndpointOrder& order = entry.second;
+        list.push_back({{"endpoint", order.endpoint}, {"kind", orderKindNames.name(order.kind)},
+            {"argument", order.argument}, {"number", order.number}, {"epoch", order.epoch},
+            {"done", order.isDone}});
+    }
+    document["orders"] = std::move(list);
+    return document.dump();
+}
+
+void OrderJournal::load(const std::string& text)
+{
+    orders_.clear();
+    Json document = parseJsonOrDiscard(text);
+    lastNumber_ = std::max(lastNumber_, static_cast<std::uint64_t>(integerMember(document, "last_number")));
+    if (!document.is_object() || !document.contains("orders"))
+        return;
+    for (const Json& item : document["orders"]) {
+        EndpointOrder order;
+        order.endpoint = stringMember(item, "endpoint");
+        order.kind = orderKindNames.parse(stringMember(item, "kind")).value_or(OrderKind::SetRole);
+        order.argument = stringMember(item, "argument");
+        order.number = static_cast<std::uint64_t>(integerMember(item, "number"));
+        order.epoch = static_cast<std::uint64_t>(integerMember(item, "epoch"));
+        order.isDone = booleanMember(item, "done");
+        orders_[order.endpoint] = order;
+    }
+}
+
+StoreOps OrderJournal::onAnswer(Instant now, const StoreAnswer& answer)
+{
+    if (pendingOp_ == 0 || answer.opId != pendingOp_)
+        return {};
+    pendingOp_ = 0;
+    if (phase_ == Phase::Writing)
+        onWriteAnswer(now, answer);
+    else
+        onReadAnswer(now, answer);
+    return {};
+}
+
+void OrderJournal::onReadAnswer(Instant now, const StoreAnswer& answer)
+{
+    if (answer.isOutage()) {
+        nextTry_ = now + resendInterval_;
+        return;
+    }
+    if (phase_ == Phase::Doubtful) {
+        bool hasOurWrite
+            = answer.isOk() && stringMember(parseJsonOrDiscard(answer.value), "tag") == writeTag_;
+        bool isUnchanged = answer.revision == revision_;
+        if (hasOurWrite) {
+            revision_ = answer.revision;
+            adoptAll();
+            return;
+        }
+        if (isUnchanged) {
+            // The write may still arrive: repeat it; the comparison lets only one of the two take effect.
+            phase_ = Phase::Ready;
+            needsWrite_ = true;
+            return;
+        }
+    }
+    revision_ = answer.isOk() ? answer.revision : 0;
+    load(answer.isOk() ? answer.value : std::string());
+    // The unfinished orders of the former holder become ours by a write under our epoch.
+    for (auto& entry : orders_) {
+        if (!entry.second.isDone)
+            entry.second.epoch = epoch_;
+    }
+    phase_ = Phase::Ready;
+    needsWrite_ = true;
+}
+
+void OrderJournal::onWriteAnswer(Instant now, const StoreAnswer& answer)
+{
+    switch (answer.status) {
+    case StoreStatus::Ok:
+        revision_ = answer.revision;
+        adoptAll();
+        return;
+    case StoreStatus::Conflict:
+    case StoreStatus::NotFound:
+        // Somebody else wrote: most likely authority is lost. Nothing unwritten may be sent.
+        LogEvent("orders.write_conflict", Severity::Warning).with("zone", zone_).with("epoch", epoch_);
+        nextSend_.clear();
+        phase_ = Phase::Reading;
+        nextTry_ = now + resendInterval_;
+        return;
+    case StoreStatus::Unavailable:
+        phase_ = Phase::Ready;
+        needsWrite_ = true;
+        nextTry_ = now + resendInterval_;
+        return;
+    case StoreStatus::Unknown:
+        phase_ = Phase::Doubtful;
+        nextTry_ = now + resendInterval_;
+        return;
+    }
+}
+
+void OrderJournal::adoptAll()
+{
+    phase_ = Phase::Ready;
+    for (const auto& entry : orders_) {
+        const EndpointOrder& order = entry.second;
+        if (!order.isDone && order.epoch == epoch_)
+            nextSend_.try_emplace(order.number, Instant::min());
+    }
+}
+
+std::vector<EndpointOrder> OrderJournal::takeSends(
+    Instant now, const Authority& authority, const std::function<bool(const std::string&)>& checksFencing)
+{
+    std::vector<EndpointOrder> sends;
+    if (authority.epoch == 0 || authority.epoch != epoch_)
+        return sends;
+    for (const auto& entry : orders_) {
+        const EndpointOrder& order = entry.second;
+        auto due = nextSend_.find(order.number);
+        if (order.isDone || due == nextSend_.end() || now < due->second)
+            continue;
+        bool isFenced = !order.isToPlatform() && checksFencing(order.endpoint);
+        if (!isFenced && !authority.isQuietPeriodOver)
+            continue;
+        checkInvariant(order.epoch == authority.epoch, "orders.sent_under_own_epoch");
+        due->second = now + resendInterval_;
+        sends.push_back(order);
+    }
+    return sends;
+}
+
+void OrderJournal::onSendResult(std::uint64_t number, SendOutcome outcome)
+{
+    for (auto& entry : orders_) {
+        EndpointOrder& order = entry.second;
+        if (order.number != number || outcome == SendOutcome::Unknown)
+            continue;
+        LogEvent("orders.result")
+            .with("zone", zone_)
+            .with("endpoint", order.endpoint)
+            .with("number", number)
+            .with("outcome", sendOutcomeNames.name(outcome));
+        if (!nextSend_.contains(number))
+            return;
+        order.isDone = true;
+        needsWrite_ = true;
+        nextSend_.erase(number);
+    }
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/lease/authority_fuse.cc
@@ -0,0 +1,126 @@
+#include "ragwortwinch/lease/authority_fuse.h"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+namespace ragwortwinch {
+
+namespace {
+
+// Bounds how long the kernel goes on sending bytes that it has taken.
+constexpr unsigned int userTimeoutMillis = 1500;
+constexpr int signalOffset = 3;
+
+int fuseSignal() { return SIGRTMIN + signalOffset; }
+
+} // namespace
+
+AuthorityFuse::AuthorityFuse()
+{
+    for (std::atomic<int>& socket : sockets_)
+        socket.store(-1);
+    deadDescriptor_ = open("/dev/null", O_RDONLY | O_CLOEXEC);
+    struct sigaction action { };
+    action.sa_sigaction = &AuthorityFuse::onSignal;
+    action.sa_flags = SA_SIGINFO | SA_RESTART;
+    sigaction(fuseSignal(), &action, nullptr);
+    sigevent event{};
+    event.sigev_notify = SIGEV_THREAD_ID;
+    event.sigev_signo = fuseSignal();
+    event.sigev_value.sival_ptr = this;
+    event._sigev_un._tid = static_cast<pid_t>(syscall(SYS_gettid));
+    if (deadDescriptor_ < 0 || timer_create(CLOCK_BOOTTIME, &event, &timer_) != 0)
+        throw std::runtime_error(
+            "the kernel gave no timer on CLOCK_BOOTTIME; raise the limits on timers and open files");
+}
+
+AuthorityFuse::~AuthorityFuse()
+{
+    timer_delete(timer_);
+    close(deadDescriptor_);
+}
+
+void AuthorityFuse::onSignal(int, siginfo_t* info, void*)
+{
+    int savedErrno = errno;
+    if (info->si_code == SI_TIMER)
+        static_cast<AuthorityFuse*>(info->si_value.sival_ptr)->blow();
+    errno = savedErrno;
+}
+
+void AuthorityFuse::blow()
+{
+    isBlown_.store(true);
+    for (std::atomic<int>& entry : sockets_) {
+        int socket = entry.load();
+        if (socket < 0)
+            continue;
+        // A socket that is not connected yet ignores shutdown, so it is replaced as well.
+        shutdown(socket, SHUT_RDWR);
+        dup2(deadDescriptor_, socket);
+    }
+}
+
+void AuthorityFuse::arm(Instant authorityEnd)
+{
+    isBlown_.store(false);
+    itimerspec when{};
+    std::int64_t millis = authorityEnd.time_since_epoch().count();
+    when.it_value.tv_sec = millis / 1000;
+    when.it_value.tv_nsec = (millis % 1000) * 1000000;
+    if (millis <= 0)
+        when.it_value.tv_nsec = 1;
+    timer_settime(timer_, TIMER_ABSTIME, &when, nullptr);
+}
+
+void AuthorityFuse::disarm()
+{
+    itimerspec never{};
+    timer_settime(timer_, 0, &never, nullptr);
+    isBlown_.store(true);
+}
+
+AuthorityFuse::Arming::Arming(AuthorityFuse& fuse, Instant authorityEnd)
+    : fuse_(fuse)
+{
+    fuse_.arm(authorityEnd);
+}
+
+AuthorityFuse::Arming::~Arming() { fuse_.disarm(); }
+
+int AuthorityFuse::openSocket(int family, int type, int protocol)
+{
+    int socket = ::socket(family, type | SOCK_CLOEXEC, protocol);
+    if (socket < 0)
+        return -1;
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMillis, sizeof(userTimeoutMillis));
+    for (std::atomic<int>& entry : sockets_) {
+        if (entry.load() >= 0)
+            continue;
+        entry.store(socket);
+        // The signal may have come before the registration.
+        if (!isBlown_.load())
+            return socket;
+        entry.store(-1);
+        break;
+    }
+    close(socket);
+    return -1;
+}
+
+void AuthorityFuse::closeSocket(int socket)
+{
+    for (std::atomic<int>& entry : sockets_) {
+        int expected = socket;
+        entry.compare_exchange_strong(expected, -1);
+    }
+    close(socket);
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/lease/lease_keeper.cc
@@ -0,0 +1,199 @@
+#include "ragwortwinch/lease/lease_keeper.h"
+
+#include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/base/json.h"
+#include "ragwortwinch/base/log_event.h"
+
+#include <utility>
+
+namespace ragwortwinch {
+
+LeaseKeeper::LeaseKeeper(
+    std::string duty, std::string node, std::string incarnation, OpIds& ids, LeaseOptions options)
+    : duty_(std::move(duty))
+    , node_(std::move(node))
+    , incarnation_(std::move(incarnation))
+    , ids_(ids)
+    , options_(options)
+{
+}
+
+std::string LeaseKeeper::makeValue()
+{
+    // The attempt tells our own write from any other after a lost answer.
+    Json value;
+    value["holder"] = node_;
+    value["incarnation"] = incarnation_;
+    value["attempt"] = ++attempt_;
+    return value.dump();
+}
+
+StoreOps LeaseKeeper::tick(Instant now)
+{
+    if (state_ == LeaseState::Held && now >= authorityEnd_)
+        lose(now, "expired");
+    if (state_ == LeaseState::Held && isReleaseWanted_) {
+        state_ = LeaseState::Releasing;
+        isReleaseWanted_ = false;
+        isWanted_ = false;
+        pendingOp_ = ids_.next();
+        pendingSentAt_ = now;
+        LogEvent("lease.release").with("duty", duty_).with("epoch", epoch_);
+        return {StoreOp::put(pendingOp_, key(), R"({"released":true})", epoch_)};
+    }
+    if (state_ == LeaseState::Held && now >= nextRenewal_ && pendingOp_ == 0) {
+        pendingOp_ = ids_.next();
+        pendingSentAt_ = now;
+        return {StoreOp::keepAlive(pendingOp_, key(), epoch_, options_.ttl)};
+    }
+    if (state_ == LeaseState::Idle && isWanted_ && now >= nextTry_)
+        return read(now);
+    return {};
+}
+
+StoreOps LeaseKeeper::read(Instant now)
+{
+    state_ = LeaseState::Reading;
+    pendingOp_ = ids_.next();
+    pendingSentAt_ = now;
+    return {StoreOp::get(pendingOp_, key())};
+}
+
+StoreOps LeaseKeeper::acquire(Instant now, std::uint64_t expectedRevision)
+{
+    state_ = LeaseState::Acquiring;
+    isTakingReleased_ = expectedRevision != 0;
+    value_ = makeValue();
+    pendingOp_ = ids_.next();
+    pendingSentAt_ = now;
+    return {StoreOp::put(pendingOp_, key(), value_, expectedRevision, options_.ttl)};
+}
+
+StoreOps LeaseKeeper::onAnswer(Instant now, const StoreAnswer& answer)
+{
+    if (answer.opId != pendingOp_ || pendingOp_ == 0)
+        return {};
+    pendingOp_ = 0;
+    switch (state_) {
+    case LeaseState::Reading:
+        return onReadAnswer(now, answer);
+    case LeaseState::Acquiring:
+        onAcquireAnswer(now, answer);
+        return {};
+    case LeaseState::Held:
+        onRenewAnswer(now, answer);
+        return {};
+    case LeaseState::Releasing:
+        // Whatever the answer was, this process has stopped sending; an unreleased lease expires.
+        state_ = LeaseState::Idle;
+        epoch_ = 0;
+        holder_.clear();
+        return {};
+    case LeaseState::Idle:
+        return {};
+    }
+    return {};
+}
+
+StoreOps LeaseKeeper::onReadAnswer(Instant now, const StoreAnswer& answer)
+{
+    if (answer.status == StoreStatus::NotFound) {
+        holder_.clear();
+        return acquire(now, 0);
+    }
+    if (!answer.isOk()) {
+        backOff(now);
+        return {};
+    }
+    Json value = parseJsonOrDiscard(answer.value);
+    if (booleanMember(value, "released"))
+        return acquire(now, answer.revision);
+    holder_ = stringMember(value, "holder");
+    bool isOurLostAcquisition = !doubtfulValue_.empty() && answer.value == doubtfulValue_;
+    if (isOurLostAcquisition) {
+        pendingSentAt_ = doubtfulSentAt_;
+        doubtfulValue_.clear();
+        // It may be of a released lease, but then nothing is lost by the quiet period.
+        become(now, answer.revision, true);
+        return {};
+    }
+    backOff(now);
+    return {};
+}
+
+void LeaseKeeper::onAcquireAnswer(Instant now, const StoreAnswer& answer)
+{
+    if (answer.isOk()) {
+        become(now, answer.revision, !isTakingReleased_);
+        return;
+    }
+    if (answer.status == StoreStatus::Unknown) {
+        doubtfulValue_ = value_;
+        doubtfulSentAt_ = pendingSentAt_;
+    }
+    backOff(now);
+}
+
+void LeaseKeeper::become(Instant now, std::uint64_t revision, bool needsQuiet)
+{
+    checkInvariant(revision > lastEpoch_, "lease.epoch_grows");
+    epoch_ = revision;
+    lastEpoch_ = revision;
+    holder_ = node_;
+    state_ = LeaseState::Held;
+    authorityEnd_ = pendingSentAt_ + options_.ttl - options_.margin;
+    quietUntil_ = needsQuiet ? now + options_.quietPeriod() : now;
+    nextRenewal_ = pendingSentAt_ + options_.renewInterval();
+    if (now >= authorityEnd_) {
+        lose(now, "answer_too_late");
+        return;
+    }
+    LogEvent("lease.acquired").with("duty", duty_).with("epoch", epoch_).with("quiet", needsQuiet);
+}
+
+void LeaseKeeper::onRenewAnswer(Instant now, const StoreAnswer& answer)
+{
+    if (now >= authorityEnd_) {
+        lose(now, "expired");
+        return;
+    }
+    if (answer.isOk()) {
+        Instant end = pendingSentAt_ + options_.ttl - options_.margin;
+        authorityEnd_ = std::max(authorityEnd_, end);
+        nextRenewal_ = pendingSentAt_ + options_.renewInterval();
+        return;
+    }
+    if (answer.status == StoreStatus::Conflict || answer.status == StoreStatus::NotFound) {
+        lose(now, "taken_over");
+        return;
+    }
+    nextRenewal_ = now + std::min(options_.retryInterval, options_.renewInterval());
+}
+
+void LeaseKeeper::lose(Instant now, const char* reason)
+{
+    LogEvent("lease.lost", Severity::Warning)
+        .with("duty", duty_)
+        .with("epoch", epoch_)
+        .with("reason", reason);
+    epoch_ = 0;
+    pendingOp_ = 0;
+    isReleaseWanted_ = false;
+    holder_.clear();
+    state_ = LeaseState::Idle;
+    backOff(now);
+}
+
+void LeaseKeeper::backOff(Instant now)
+{
+    state_ = LeaseState::Idle;
+    nextTry_ = now + options_.retryInterval;
+}
+
+void LeaseKeeper::release()
+{
+    isReleaseWanted_ = true;
+    isWanted_ = false;
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/lease/lease_keeper.h
@@ -0,0 +1,104 @@
+// Acquires and keeps the lease of one duty, and says at any moment whether this process has authority.
+//
+//     LeaseKeeper keeper("fleet/north-cnx", "cnx-1", ids, options);
+//     run(keeper.tick(now));                 // store operations to execute
+//     keeper.onAnswer(now, answer);          // their answers
+//     if (keeper.isHeld(now)) send(order, keeper.epoch());
+//
+// Authority lasts until the time the last successful renewal was SENT, plus the TTL, less the margin. A
+// renewal whose answer is lost extends nothing. The epoch, a fencing number, is the store's revision of the
+// acquisition. Not thread-safe; holds no clock and no socket.
+#pragma once
+
+#include "ragwortwinch/base/name_table.h"
+#include "ragwortwinch/lease/lease_options.h"
+#include "ragwortwinch/store/op_ids.h"
+#include "ragwortwinch/store/store_op.h"
+
+#include <cstdint>
+#include <string>
+
+namespace ragwortwinch {
+
+enum class LeaseState {
+    Idle,
+    Reading,
+    Acquiring,
+    Held,
+    Releasing,
+};
+
+inline constexpr NameTable<LeaseState, 5> leaseStateNames{{{
+    {LeaseState::Idle, "idle"},
+    {LeaseState::Reading, "reading"},
+    {LeaseState::Acquiring, "acquiring"},
+    {LeaseState::Held, "held"},
+    {LeaseState::Releasing, "releasing"},
+}}};
+
+class LeaseKeeper {
+public:
+    // `incarnation` differs for each start of a node, so that a restarted node never takes the lease of its
+    // former self for its own. `ids` outlives the keeper.
+    LeaseKeeper(
+        std::string duty, std::string node, std::string incarnation, OpIds& ids, LeaseOptions options);
+
+    // Returns the operations to execute now. Call it at least every retry interval.
+    StoreOps tick(Instant now);
+    // Takes an answer; answers to operations of others are ignored. Returns operations to execute at once.
+    StoreOps onAnswer(Instant now, const StoreAnswer& answer);
+    // Starts to give the lease back; call it only when no send is under way. `tick` returns the operation.
+    void release();
+    // Whether to try for the lease at all.
+    void setWanted(bool isWanted) { isWanted_ = isWanted; }
+
+    bool isHeld(Instant now) const { return state_ == LeaseState::Held && now < authorityEnd_; }
+    // True once sends to those that do not check fencing numbers are safe too.
+    bool isQuietPeriodOver(Instant now) const { return isHeld(now) && now >= quietUntil_; }
+    // The fencing number; 0 without authority.
+    std::uint64_t epoch() const { return state_ == LeaseState::Held ? epoch_ : 0; }
+    Instant authorityEnd() const { return authorityEnd_; }
+    LeaseState state() const { return state_; }
+    const std::string& duty() const { return duty_; }
+    // The node that the store last named as holder; empty when none is known.
+    const std::string& holder() const { return holder_; }
+
+private:
+    std::string key() const { return "lease/" + duty_; }
+    std::string makeValue();
+    void lose(Instant now, const char* reason);
+    void become(Instant now, std::uint64_t revision, bool needsQuiet);
+    StoreOps read(Instant now);
+    StoreOps acquire(Instant now, std::uint64_t expectedRevision);
+    StoreOps onReadAnswer(Instant now, const StoreAnswer& answer);
+    void onAcquireAnswer(Instant now, const StoreAnswer& answer);
+    void onRenewAnswer(Instant now, const StoreAnswer& answer);
+    void backOff(Instant now);
+
+    std::string duty_;
+    std::string node_;
+    std::string incarnation_;
+    OpIds& ids_;
+    LeaseOptions options_;
+
+    LeaseState state_ = LeaseState::Idle;
+    bool isWanted_ = true;
+    bool isReleaseWanted_ = false;
+    std::uint64_t pendingOp_ = 0;
+    Instant pendingSentAt_;
+    Instant nextTry_;
+    Instant nextRenewal_;
+    std::uint64_t attempt_ = 0;
+    // The value of an acquisition whose answer was lost, and when it was sent.
+    std::string doubtfulValue_;
+    Instant doubtfulSentAt_;
+    bool isTakingReleased_ = false;
+    std::uint64_t epoch_ = 0;
+    std::uint64_t lastEpoch_ = 0;
+    Instant authorityEnd_;
+    Instant quietUntil_;
+    std::string value_;
+    std::string holder_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/lease/lease_keeper_test.cc
@@ -0,0 +1,103 @@
+#include "ragwortwinch/lease/lease_keeper.h"
+
+#include <doctest/doctest.h>
+
+namespace ragwortwinch {
+namespace {
+
+Instant at(std::int64_t millis) { return Instant(Millis(millis)); }
+
+StoreAnswer answerTo(
+    const StoreOps& ops, StoreStatus status, std::uint64_t revision = 0, std::string value = {})
+{
+    REQUIRE(ops.size() == 1);
+    return {ops[0].id, status, revision, std::move(value), {}};
+}
+
+LeaseKeeper makeKeeper(OpIds& ids)
+{
+    return LeaseKeeper(
+        "fleet/north", "n1", "i1", ids, LeaseOptions{Millis(1000), Millis(100), Millis(300), Millis(50)});
+}
+
+StoreOps acquire(LeaseKeeper& keeper, std::int64_t now)
+{
+    StoreOps read = keeper.tick(at(now));
+    return keeper.onAnswer(at(now), answerTo(read, StoreStatus::NotFound));
+}
+
+TEST_CASE("authority is counted from when the acquisition was sent, less the margin")
+{
+    OpIds ids;
+    LeaseKeeper keeper = makeKeeper(ids);
+    StoreOps put = acquire(keeper, 0);
+    keeper.onAnswer(at(200), answerTo(put, StoreStatus::Ok, 7));
+    CHECK(keeper.epoch() == 7);
+    CHECK(keeper.isHeld(at(899)));
+    CHECK_FALSE(keeper.isHeld(at(900)));
+}
+
+TEST_CASE("a renewal with a lost answer extends nothing")
+{
+    OpIds ids;
+    LeaseKeeper keeper = makeKeeper(ids);
+    keeper.onAnswer(at(0), answerTo(acquire(keeper, 0), StoreStatus::Ok, 7));
+    StoreOps renewal = keeper.tick(at(300));
+    REQUIRE(renewal.size() == 1);
+    CHECK(renewal[0].verb == StoreVerb::KeepAlive);
+    keeper.onAnswer(at(400), answerTo(renewal, StoreStatus::Unknown));
+    CHECK_FALSE(keeper.isHeld(at(900)));
+    CHECK(keeper.tick(at(900)).empty());
+    CHECK(keeper.epoch() == 0);
+}
+
+TEST_CASE("an answer that comes after the lease's end gives no authority")
+{
+    OpIds ids;
+    LeaseKeeper keeper = makeKeeper(ids);
+    keeper.onAnswer(at(950), answerTo(acquire(keeper, 0), StoreStatus::Ok, 7));
+    CHECK(keeper.epoch() == 0);
+}
+
+TEST_CASE("an acquisition whose answer was lost is recognised by its attempt")
+{
+    OpIds ids;
+    LeaseKeeper keeper = makeKeeper(ids);
+    StoreOps put = acquire(keeper, 0);
+    std::string written = put[0].value;
+    keeper.onAnswer(at(100), answerTo(put, StoreStatus::Unknown));
+    StoreOps read = keeper.tick(at(200));
+    keeper.onAnswer(at(210), answerTo(read, StoreStatus::Ok, 7, written));
+    CHECK(keeper.epoch() == 7);
+    CHECK_FALSE(keeper.isHeld(at(900)));
+}
+
+TEST_CASE("the quiet period follows a lapse but not a release")
+{
+    OpIds ids;
+    LeaseKeeper afterLapse = makeKeeper(ids);
+    afterLapse.onAnswer(at(0), answerTo(acquire(afterLapse, 0), StoreStatus::Ok, 7));
+    CHECK_FALSE(afterLapse.isQuietPeriodOver(at(1)));
+
+    LeaseKeeper afterRelease = makeKeeper(ids);
+    StoreOps put = afterRelease.onAnswer(
+        at(0), answerTo(afterRelease.tick(at(0)), StoreStatus::Ok, 9, R"({"released":true})"));
+    REQUIRE(put.size() == 1);
+    CHECK(put[0].expectedRevision == 9);
+    afterRelease.onAnswer(at(0), answerTo(put, StoreStatus::Ok, 10));
+    CHECK(afterRelease.isQuietPeriodOver(at(1)));
+}
+
+TEST_CASE("a lease held by another is left alone")
+{
+    OpIds ids;
+    LeaseKeeper keeper = makeKeeper(ids);
+    StoreOps ops
+        = keeper.onAnswer(at(0), answerTo(keeper.tick(at(0)), StoreStatus::Ok, 3, R"({"holder":"n2"})"));
+    CHECK(ops.empty());
+    CHECK(keeper.holder() == "n2");
+    CHECK_FALSE(keeper.isHeld(at(1)));
+}
+
+} // namespace
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/membership/peer_digest.h
@@ -0,0 +1,36 @@
+// What a node tells each of its peers with every heartbeat. Bounded in bytes.
+#pragma once
+
+#include "ragwortwinch/membership/vm_info.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ragwortwinch {
+
+// The work that one node has at one endpoint.
+struct EndpointShare {
+    std::string endpoint;
+    std::int64_t running = 0;
+    std::int64_t pieces = 0;
+};
+
+struct PeerDigest {
+    VmInfo sender;
+    std::uint64_t sequence = 0;
+    // The greatest sequence number received from the peer that this digest goes to.
+    std::uint64_t echo = 0;
+    std::uint64_t configVersion = 0;
+    // Age of the sender's last proof that its configuration is the newest, in milliseconds.
+    std::int64_t proofAgeMillis = 0;
+    bool isStoreDown = false;
+    // Endpoints that the sender knows to be leaving, with their incarnation.
+    std::map<std::string, std::uint64_t> leavingEndpoints;
+    std::vector<EndpointShare> shares;
+    // Running requests of teams that are close to a limit.
+    std::map<std::string, std::int64_t> teamRunning;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/membership/peer_links.cc
@@ -0,0 +1,338 @@
+#include "ragwortwinch/membership/peer_links.h"
+
+#include "ragwortwinch/base/log_event.h"
+
+#include <array>
+#include <deque>
+#include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr std::size_t readBufferBytes = 64 * 1024;
+// A peer that takes nothing for so long that this much piles up is as good as silent.
+constexpr std::size_t maxQueuedBytes = 2 * maxPeerFrameBytes;
+constexpr int silentHeartbeats = 6;
+constexpr std::size_t maxSessions = 2000;
+
+} // namespace
+
+class PeerLinks::Session : public std::enable_shared_from_this<Session> {
+public:
+    Session(PeerLinks& links, asio::ip::tcp::socket socket, bool isDialed, std::string dialedAddress)
+        : links_(links)
+        , socket_(std::move(socket))
+        , isDialed_(isDialed)
+        , dialedAddress_(std::move(dialedAddress))
+        , lastHeard_(SystemClock().now())
+    {
+    }
+
+    void start()
+    {
+        asio::error_code ignored;
+        socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+        unsigned int timeout = static_cast<unsigned int>((links_.heartbeat_ * silentHeartbeats).count());
+        setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+        isOpen_ = true;
+        sendDigest();
+        read();
+    }
+
+    void connect(const asio::ip::tcp::endpoint& endpoint)
+    {
+        std::shared_ptr<Session> self = shared_from_this();
+        socket_.async_connect(endpoint, [self](const asio::error_code& error) {
+            if (error || self->isClosed_)
+                self->close();
+            else
+                self->start();
+        });
+    }
+
+    void sendDigest()
+    {
+        if (isOpen_)
+            send(encodeDigest(links_.listener_.makeDigest(peer_)));
+    }
+
+    void send(std::string frame)
+    {
+        if (!isOpen_ || isClosed_)
+            return;
+        queuedBytes_ += frame.size();
+        if (queuedBytes_ > maxQueuedBytes) {
+            close();
+            return;
+        }
+        queue_.push_back(std::move(frame));
+        if (queue_.size() == 1)
+            write();
+    }
+
+    void close()
+    {
+        if (isClosed_)
+            return;
+        isClosed_ = true;
+        asio::error_code ignored;
+        socket_.close(ignored);
+        links_.remove(shared_from_this());
+    }
+
+    bool isDialed() const { return isDialed_; }
+    bool isOpen() const { return isOpen_; }
+    const std::string& peer() const { return peer_; }
+    const std::string& dialedAddress() const { return dialedAddress_; }
+    Instant lastHeard() const { return lastHeard_; }
+
+private:
+    void read()
+    {
+        std::shared_ptr<Session> self = shared_from_this();
+        socket_.async_read_some(
+            asio::buffer(buffer_), [self](const asio::error_code& error, std::size_t size) {
+                if (error || self->isClosed_) {
+                    self->close();
+                    return;
+                }
+                self->lastHeard_ = SystemClock().now();
+                self->reader_.append(std::string_view(self->buffer_.data(), size));
+                self->takeFrames();
+                if (!self->isClosed_)
+                    self->read();
+            });
+    }
+
+    void takeFrames()
+    {
+        while (std::optional<PeerFrame> frame = reader_.next()) {
+            if (!takeFrame(*frame)) {
+                close();
+                return;
+            }
+        }
+        if (reader_.isBroken()) {
+            LogEvent("peer.broken", Severity::Warning).with("peer", peer_).with("problem", reader_.problem());
+            close();
+        }
+    }
+
+    bool takeFrame(const PeerFrame& frame)
+    {
+        if (frame.kind != PeerMessageKind::Digest) {
+            // A peer says who it is before anything else.
+            if (peer_.empty())
+                return false;
+            links_.listener_.onFrame(peer_, frame);
+            return true;
+        }
+        std::optional<PeerDigest> digest = decodeDigest(frame.payload);
+        if (!digest) {
+            LogEvent("peer.bad_digest", Severity::Warning).with("peer", peer_);
+            return false;
+        }
+        if (peer_.empty()) {
+            peer_ = digest->sender.name;
+            if (!links_.identify(shared_from_this(), peer_))
+                return false;
+        }
+        links_.listeningAt_[peer_] = digest->sender.peerAddress.text();
+        links_.listener_.onDigest(peer_, *digest);
+        return true;
+    }
+
+    void write()
+    {
+        std::shared_ptr<Session> self = shared_from_this();
+        asio::async_write(
+            socket_, asio::buffer(queue_.front()), [self](const asio::error_code& error, std::size_t size) {
+                if (error || self->isClosed_) {
+                    self->close();
+                    return;
+                }
+                self->links_.bytesSent_ += size;
+                self->queuedBytes_ -= size;
+                self->queue_.pop_front();
+                if (!self->queue_.empty())
+                    self->write();
+            });
+    }
+
+    PeerLinks& links_;
+    asio::ip::tcp::socket socket_;
+    bool isDialed_;
+    std::string dialedAddress_;
+    std::string peer_;
+    Instant lastHeard_;
+    bool isOpen_ = false;
+    bool isClosed_ = false;
+    std::array<char, readBufferBytes> buffer_{};
+    PeerFrameReader reader_;
+    std::deque<std::string> queue_;
+    std::size_t queuedBytes_ = 0;
+};
+
+PeerLinks::PeerLinks(asio::io_context& context, std::string self, SocketAddress address, Millis heartbeat,
+    PeerListener& listener)
+    : context_(context)
+    , self_(std::move(self))
+    , address_(std::move(address))
+    , heartbeat_(heartbeat)
+    , listener_(listener)
+    , acceptor_(context)
+{
+}
+
+PeerLinks::~PeerLinks() = default;
+
+Result<std::uint16_t> PeerLinks::start()
+{
+    try {
+        asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address_.host), address_.port);
+        acceptor_.open(endpoint.protocol());
+        acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+        acceptor_.bind(endpoint);
+        acceptor_.listen();
+        address_.port = acceptor_.local_endpoint().port();
+        accept();
+        return address_.port;
+    } catch (const std::exception& failure) {
+        return makeError(ErrorKind::BadSettings,
+            fmt::format("can't listen for peers on {}: {}; choose an address of this VM and a free port",
+                address_.text(), failure.what()));
+    }
+}
+
+void PeerLinks::accept()
+{
+    acceptor_.async_accept([this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+        if (isStopped_ || error == asio::error::operation_aborted)
+            return;
+        if (!error && sessions_.size() < maxSessions) {
+            auto session = std::make_shared<Session>(*this, std::move(socket), false, std::string());
+            sessions_.insert(session);
+            session->start();
+        }
+        accept();
+    });
+}
+
+void PeerLinks::setAddresses(const std::vector<SocketAddress>& addresses) { wanted_ = addresses; }
+
+void PeerLinks::dial(const SocketAddress& address)
+{
+    auto session = std::make_shared<Session>(*this, asio::ip::tcp::socket(context_), true, address.text());
+    sessions_.insert(session);
+    session->connect(asio::ip::tcp::endpoint(asio::ip::make_address(address.host), address.port));
+}
+
+std::set<std::string> PeerLinks::connectedAddresses() const
+{
+    std::set<std::string> addresses;
+    for (const auto& entry : byPeer_) {
+        auto found = listeningAt_.find(entry.first);
+        if (found != listeningAt_.end())
+            addresses.insert(found->second);
+    }
+    return addresses;
+}
+
+void PeerLinks::tick(Instant now)
+{
+    if (isStopped_)
+        return;
+    std::set<std::string> busy;
+    std::vector<std::shared_ptr<Session>> silent;
+    for (const std::shared_ptr<Session>& session : sessions_) {
+        busy.insert(session->dialedAddress());
+        if (now - session->lastHeard() > heartbeat_ * silentHeartbeats)
+            silent.push_back(session);
+    }
+    for (const std::shared_ptr<Session>& session : silent) {
+        LogEvent("peer.silent", Severity::Warning)
+            .with("peer", session->peer())
+            .with("address", session->dialedAddress());
+        session->close();
+    }
+    std::set<std::string> connected = connectedAddresses();
+    for (const SocketAddress& address : wanted_) {
+        std::string text = address.text();
+        Instant& next = nextDial_[text];
+        if (address == address_ || busy.contains(text) || connected.contains(text) || now < next)
+            continue;
+        next = now + heartbeat_ * 2;
+        dial(address);
+    }
+    if (now >= nextHeartbeat_) {
+        nextHeartbeat_ = now + heartbeat_;
+        std::vector<std::shared_ptr<Session>> open(sessions_.begin(), sessions_.end());
+        for (const std::shared_ptr<Session>& session : open)
+            session->sendDigest();
+    }
+}
+
+bool PeerLinks::send(const std::string& peer, const std::string& frame)
+{
+    auto found = byPeer_.find(peer);
+    if (found == byPeer_.end())
+        return false;
+    found->second->send(frame);
+    return true;
+}
+
+std::set<std::string> PeerLinks::connectedPeers() const
+{
+    std::set<std::string> peers;
+    for (const auto& entry : byPeer_)
+        peers.insert(entry.first);
+    return peers;
+}
+
+void PeerLinks::remove(const std::shared_ptr<Session>& session)
+{
+    sessions_.erase(session);
+    auto found = byPeer_.find(session->peer());
+    if (found != byPeer_.end() && found->second == session) {
+        LogEvent("peer.disconnected").with("peer", session->peer());
+        byPeer_.erase(found);
+    }
+}
+
+bool PeerLinks::identify(const std::shared_ptr<Session>& session, const std::string& peer)
+{
+    if (peer == self_)
+        return false;
+    auto found = byPeer_.find(peer);
+    if (found == byPeer_.end()) {
+        byPeer_[peer] = session;
+        LogEvent("peer.connected").with("peer", peer);
+        return true;
+    }
+    // Both ends keep the connection that the smaller name dialed; of two such, the newer one, since the older
+    // may be a leftover of a process that has gone.
+    bool isPreferred = session->isDialed() == (self_ < peer);
+    if (!isPreferred && found->second->isDialed() != session->isDialed())
+        return false;
+    std::shared_ptr<Session> old = found->second;
+    found->second = session;
+    old->close();
+    return true;
+}
+
+void PeerLinks::stop()
+{
+    isStopped_ = true;
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+    std::vector<std::shared_ptr<Session>> open(sessions_.begin(), sessions_.end());
+    for (const std::shared_ptr<Session>& session : open)
+        session->close();
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/membership/peer_message.h
@@ -0,0 +1,62 @@
+// The messages between nodes and their form on the wire: a length, a version, a kind, and msgpack.
+//
+//     std::string frame = encodeDigest(digest);
+//     PeerFrameReader reader;
+//     reader.append(bytes);
+//     while (std::optional<PeerFrame> frame = reader.next()) ...
+#pragma once
+
+#include "ragwortwinch/base/name_table.h"
+#include "ragwortwinch/config/config_head.h"
+#include "ragwortwinch/membership/peer_digest.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace ragwortwinch {
+
+enum class PeerMessageKind : std::uint8_t {
+    Digest = 1,
+    // Asks for the configuration that the peer holds.
+    ConfigRequest = 2,
+    ConfigBody = 3,
+};
+
+inline constexpr std::uint8_t peerProtocolVersion = 1;
+// A frame that claims more is refused before anything is allocated.
+inline constexpr std::uint32_t maxPeerFrameBytes = 8 * 1024 * 1024;
+
+struct PeerFrame {
+    PeerMessageKind kind = PeerMessageKind::Digest;
+    std::string payload;
+};
+
+struct ConfigBody {
+    ConfigHead head;
+    std::string text;
+};
+
+std::string encodeFrame(PeerMessageKind, std::string_view payload);
+std::string encodeDigest(const PeerDigest&);
+std::string encodeConfigBody(const ConfigBody&);
+// Return nothing when the payload is malformed.
+std::optional<PeerDigest> decodeDigest(std::string_view payload);
+std::optional<ConfigBody> decodeConfigBody(std::string_view payload);
+
+// Cuts a byte stream into frames. Not thread-safe.
+class PeerFrameReader {
+public:
+    void append(std::string_view bytes) { buffer_.append(bytes); }
+    // Returns the next whole frame, or nothing.
+    std::optional<PeerFrame> next();
+    // True once the stream is malformed; the connection is then of no use.
+    bool isBroken() const { return !problem_.empty(); }
+    const std::string& problem() const { return problem_; }
+
+private:
+    std::string buffer_;
+    std::string problem_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/membership/vm_table.cc
@@ -0,0 +1,100 @@
+#include "ragwortwinch/membership/vm_table.h"
+
+namespace ragwortwinch {
+
+VmTable::VmTable(std::string self, Millis silenceBound)
+    : self_(std::move(self))
+    , silenceBound_(silenceBound)
+{
+}
+
+bool VmTable::merge(VmInfo& known, const VmInfo& news)
+{
+    if (news.incarnation < known.incarnation)
+        return false;
+    bool staysLeaving = known.isLeaving && news.incarnation == known.incarnation;
+    known = news;
+    known.isLeaving = known.isLeaving || staysLeaving;
+    return true;
+}
+
+void VmTable::onPlatformList(Instant, const std::vector<VmInfo>& vms)
+{
+    std::set<std::string> listed;
+    for (const VmInfo& vm : vms) {
+        if (vm.name == self_) {
+            isSelfLeaving_ = isSelfLeaving_ || vm.isLeaving;
+            continue;
+        }
+        listed.insert(vm.name);
+        Entry& entry = entries_[vm.name];
+        entry.isListed = true;
+        // The list lags and knows no incarnation: it can only add that a VM leaves.
+        if (entry.lastHeard == Instant::min())
+            entry.info = vm;
+        entry.info.isLeaving = entry.info.isLeaving || vm.isLeaving;
+    }
+    for (auto entry = entries_.begin(); entry != entries_.end();) {
+        bool hasGone = entry->second.isListed && !listed.contains(entry->first);
+        entry = hasGone ? entries_.erase(entry) : std::next(entry);
+    }
+}
+
+void VmTable::onHeartbeat(Instant now, const VmInfo& vm)
+{
+    if (vm.name == self_)
+        return;
+    Entry& entry = entries_[vm.name];
+    if (merge(entry.info, vm))
+        entry.lastHeard = now;
+}
+
+void VmTable::setSelf(const VmInfo& vm) { selfInfo_ = vm; }
+
+std::set<std::string> VmTable::others() const
+{
+    std::set<std::string> names;
+    for (const auto& entry : entries_) {
+        if (!entry.second.info.isLeaving)
+            names.insert(entry.first);
+    }
+    return names;
+}
+
+bool VmTable::isUsable(const Entry& entry, Instant now) const
+{
+    return entry.info.isReady && !entry.info.isLeaving && entry.lastHeard != Instant::min()
+        && now - entry.lastHeard <= silenceBound_;
+}
+
+std::vector<VmInfo> VmTable::usable(Instant now) const
+{
+    std::vector<VmInfo> vms;
+    if (selfInfo_.isReady && !selfInfo_.isLeaving)
+        vms.push_back(selfInfo_);
+    for (const auto& entry : entries_) {
+        if (isUsable(entry.second, now))
+            vms.push_back(entry.second.info);
+    }
+    return vms;
+}
+
+std::size_t VmTable::usableCount(Instant now) const
+{
+    std::size_t count = 1;
+    for (const auto& entry : entries_)
+        count += isUsable(entry.second, now) ? 1 : 0;
+    return count;
+}
+
+std::vector<SocketAddress> VmTable::peerAddresses() const
+{
+    std::vector<SocketAddress> addresses;
+    for (const auto& entry : entries_) {
+        if (entry.second.info.peerAddress.port != 0)
+            addresses.push_back(entry.second.info.peerAddress);
+    }
+    return addresses;
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/net/restinio_http_server.cc
@@ -0,0 +1,290 @@
+#include "ragwortwinch/net/http_server.h"
+
+#include "ragwortwinch/net/internal/replying_socket.h"
+
+#include <asio.hpp>
+#include <atomic>
+#include <fmt/format.h>
+#include <memory>
+#include <mutex>
+#include <restinio/all.hpp>
+#include <thread>
+#include <vector>
+
+namespace ragwortwinch {
+
+namespace {
+
+struct ServerTraits : public restinio::default_traits_t {
+    using stream_socket_t = internal::ReplyingSocket;
+    using request_handler_t = std::function<restinio::request_handling_status_t(restinio::request_handle_t)>;
+    static constexpr bool use_connection_count_limiter = true;
+};
+
+// State shared between a responder and the write callbacks that RESTinio holds.
+struct WriteState {
+    std::atomic<std::size_t> unsentBytes{0};
+    std::atomic<bool> isClosed{false};
+    std::mutex mutex;
+    std::function<void()> onClosed;
+    std::function<void()> onWritten;
+
+    void finishWrite(std::size_t size, bool failed)
+    {
+        unsentBytes.fetch_sub(size);
+        std::function<void()> callback;
+        {
+            std::lock_guard<std::mutex> lock(mutex);
+            if (failed && !isClosed.exchange(true))
+                callback = std::move(onClosed);
+            else if (!failed)
+                callback = onWritten;
+        }
+        if (callback)
+            callback();
+    }
+};
+
+class RestinioResponder final : public HttpResponder {
+public:
+    explicit RestinioResponder(restinio::request_handle_t request)
+        : request_(std::move(request))
+        , state_(std::make_shared<WriteState>())
+    {
+    }
+
+    ~RestinioResponder() override
+    {
+        if (!stream_ && !wasAnswered_)
+            send(jsonResponse(500,
+                R"({"error":{"kind":"internal","message":"no answer was made; please report it","request":"outcome_unknown"}})"));
+    }
+
+    void send(HttpResponse response) override
+    {
+        wasAnswered_ = true;
+        auto builder = request_->create_response(statusLine(response.status));
+        for (const HttpHeaders::Field& field : response.headers.fields())
+            builder.append_header(field.first, field.second);
+        builder.set_body(std::move(response.body));
+        builder.done();
+    }
+
+    void beginStream(int status, HttpHeaders headers) override
+    {
+        wasAnswered_ = true;
+        stream_ = std::make_unique<Stream>(
+            request_->create_response<restinio::chunked_output_t>(statusLine(status)));
+        for (const HttpHeaders::Field& field : headers.fields())
+            stream_->append_header(field.first, field.second);
+        stream_->flush();
+    }
+
+    std::size_t writeStream(std::string chunk) override
+    {
+        if (!stream_ || state_->isClosed.load() || chunk.empty())
+            return state_->unsentBytes.load();
+        std::size_t size = chunk.size();
+        std::size_t unsent = state_->unsentBytes.fetch_add(size) + size;
+        stream_->append_chunk(std::move(chunk));
+        stream_->flush([state = state_, size](const asio::error_code& error) {
+            state->finishWrite(size, static_cast<bool>(error));
+        });
+        return unsent;
+    }
+
+    void endStream() override
+    {
+        if (stream_)
+            stream_->done();
+        stream_.reset();
+    }
+
+    bool isClosed() const override { return state_->isClosed.load(); }
+    std::size_t unsentBytes() const override { return state_->unsentBytes.load(); }
+
+    void onClosed(std::function<void()> callback) override
+    {
+        std::unique_lock<std::mutex> lock(state_->mutex);
+        if (state_->isClosed.load()) {
+            lock.unlock();
+            callback();
+            return;
+        }
+        state_->onClosed = std::move(callback);
+    }
+
+    void onWritten(std::function<void()> callback) override
+    {
+        std::lock_guard<std::mutex> lock(state_->mutex);
+        state_->onWritten = std::move(callback);
+    }
+
+private:
+    using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
+
+    static restinio::http_status_line_t statusLine(int status)
+    {
+        return restinio::http_status_line_t(
+            restinio::http_status_code_t(static_cast<std::uint16_t>(status)), reasonPhrase(status));
+    }
+
+    static std::string reasonPhrase(int status)
+    {
+        switch (status) {
+        case 200:
+            return "OK";
+        case 400:
+            return "Bad Request";
+        case 401:
+            return "Unauthorized";
+        case 404:
+            return "Not Found";
+        case 409:
+            return "Conflict";
+        case 413:
+            return "Payload Too Large";
+        case 429:
+            return "Too Many Requests";
+        case 502:
+            return "Bad Gateway";
+        case 503:
+            return "Service Unavailable";
+        default:
+            return status < 400 ? "OK" : "Error";
+        }
+    }
+
+    restinio::request_handle_t request_;
+    std::shared_ptr<WriteState> state_;
+    std::unique_ptr<Stream> stream_;
+    bool wasAnswered_ = false;
+};
+
+HttpRequest convertRequest(const restinio::request_handle_t& source)
+{
+    HttpRequest request;
+    request.method = source->header().method().c_str();
+    std::string_view target = source->header().request_target();
+    std::size_t mark = target.find('?');
+    request.path = percentDecode(target.substr(0, mark));
+    if (mark != std::string_view::npos)
+        request.query = target.substr(mark + 1);
+    source->header().for_each_field([&](const restinio::http_header_field_t& field) {
+        request.headers.add(field.name(), field.value());
+    });
+    request.body = source->body();
+    return request;
+}
+
+class RestinioHttpServer final : public HttpServer {
+public:
+    using Server = restinio::http_server_t<ServerTraits>;
+
+    RestinioHttpServer(const std::string& address, std::uint16_t port, int threads,
+        const HttpServerLimits& limits, std::shared_ptr<HttpHandler> handler)
+        : handler_(std::move(handler))
+        , server_(restinio::external_io_context(context_), makeSettings(address, port, limits))
+    {
+        server_.open_sync();
+        for (int index = 0; index < threads; ++index)
+            threads_.emplace_back([this] { context_.run(); });
+    }
+
+    ~RestinioHttpServer() override
+    {
+        asio::post(context_, [this] {
+            server_.close_sync();
+            context_.stop();
+        });
+        for (std::thread& thread : threads_)
+            thread.join();
+    }
+
+    std::uint16_t port() const override { return port_; }
+
+private:
+    restinio::server_settings_t<ServerTraits> makeSettings(
+        const std::string& address, std::uint16_t port, const HttpServerLimits& limits)
+    {
+        restinio::server_settings_t<ServerTraits> settings;
+        settings.address(address)
+            .port(port)
+            .read_next_http_message_timelimit(std::chrono::seconds(limits.readTimeoutSeconds))
+            .write_http_response_timelimit(std::chrono::seconds(limits.writeTimeoutSeconds))
+            .handle_request_timeout(std::chrono::hours(1))
+            .max_parallel_connections(limits.maxConnections)
+            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
+                                          .max_url_size(limits.maxHeaderBytes)
+                                          .max_field_name_size(limits.maxHeaderBytes)
+                                          .max_field_value_size(limits.maxHeaderBytes)
+                                          .max_field_count(limits.maxHeaderFields)
+                                          .max_body_size(limits.maxBodyBytes))
+            .acceptor_options_setter([](restinio::acceptor_options_t& options) {
+                options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+            })
+            .socket_options_setter([](restinio::socket_options_t& options) {
+                options.set_option(asio::ip::tcp::no_delay(true));
+                options.set_option(asio::socket_base::keep_alive(true));
+            })
+            .acceptor_post_bind_hook(
+                [this](asio::ip::tcp::acceptor& acceptor) { port_ = acceptor.local_endpoint().port(); })
+            .request_handler([this](restinio::request_handle_t request) {
+                handler_->handle(convertRequest(request), std::make_shared<RestinioResponder>(request));
+                return restinio::request_accepted();
+            });
+        return settings;
+    }
+
+    asio::io_context context_;
+    std::uint16_t port_ = 0;
+    std::shared_ptr<HttpHandler> handler_;
+    Server server_;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace
+
+HttpServerBuilder& HttpServerBuilder::address(std::string value)
+{
+    address_ = std::move(value);
+    return *this;
+}
+
+HttpServerBuilder& HttpServerBuilder::port(std::uint16_t value)
+{
+    port_ = value;
+    return *this;
+}
+
+HttpServerBuilder& HttpServerBuilder::threads(int value)
+{
+    threads_ = value;
+    return *this;
+}
+
+HttpServerBuilder& HttpServerBuilder::limits(HttpServerLimits value)
+{
+    limits_ = value;
+    return *this;
+}
+
+HttpServerBuilder& HttpServerBuilder::handler(std::shared_ptr<HttpHandler> value)
+{
+    handler_ = std::move(value);
+    return *this;
+}
+
+Result<std::unique_ptr<HttpServer>> HttpServerBuilder::start()
+{
+    try {
+        return std::unique_ptr<HttpServer>(
+            std::make_unique<RestinioHttpServer>(address_, port_, threads_, limits_, handler_));
+    } catch (const std::exception& failure) {
+        return makeError(ErrorKind::BadSettings,
+            fmt::format("can't listen on {}:{}: {}; choose an address of this VM and a free port", address_,
+                port_, failure.what()));
+    }
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/node/load_poller.h
@@ -0,0 +1,33 @@
+// Asks every endpoint for its load report at a steady interval.
+//
+//     poller.tick(now);     // on the control thread
+//
+// Reports go straight into the endpoints' state; `onReport` is called from the client's thread.
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+#include "ragwortwinch/net/http_client.h"
+#include "ragwortwinch/routing/endpoint_table.h"
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace ragwortwinch {
+
+class LoadPoller {
+public:
+    // All references outlive the poller, and the client outlives its calls.
+    LoadPoller(HttpClient& client, EndpointTable& endpoints, Millis interval, std::function<void()> onReport);
+
+    void tick(Instant now);
+
+private:
+    HttpClient& client_;
+    EndpointTable& endpoints_;
+    Millis interval_;
+    std::function<void()> onReport_;
+    Instant next_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/node/node.cc
@@ -0,0 +1,490 @@
+#include "ragwortwinch/node/node.h"
+
+#include "ragwortwinch/admin/admin_handler.h"
+#include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/base/log_event.h"
+
+#include <algorithm>
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr Millis tickInterval{25};
+constexpr Millis configReadInterval{500};
+constexpr Millis usageFlushInterval{1000};
+constexpr Millis loadPollInterval{500};
+constexpr Millis vmPollInterval{1000};
+// A judgement on keys that the control thread does not renew for so long lapses.
+constexpr Millis gateValidity{500};
+constexpr std::size_t maxPrefixEntries = 65536;
+constexpr std::size_t rememberedHeartbeats = 2000;
+constexpr int silentHeartbeats = 6;
+constexpr int adminMaxBodyBytes = 64 * 1024 * 1024;
+
+std::string incarnationText(std::uint64_t incarnation) { return std::to_string(incarnation); }
+
+SocketAddress addressMember(const Json& object, const char* name)
+{
+    return parseSocketAddress(stringMember(object, name)).value_or(SocketAddress{});
+}
+
+} // namespace
+
+Node::Node(Settings settings)
+    : settings_(std::move(settings))
+    , incarnation_(static_cast<std::uint64_t>(clock_.unixMillis()))
+    , attemptIds_(std::stoull(secureRandomHex(8), nullptr, 16))
+    , upstream_(makeCurlHttpClient())
+    , platform_(makeCurlHttpClient())
+    , store_(makeHttpKeyValueStore(*platform_, settings_.platformUrl))
+    , prefixes_(maxPrefixEntries)
+    , router_(ScoringOptions{settings_.availabilityZone, settings_.region}, prefixes_)
+    , scheduler_(clock_, endpoints_, router_)
+    , retries_(Limits().retryPercent)
+    , usage_(settings_.usageWindow)
+    , active_(std::make_unique<ActiveConfig>())
+    , directory_(std::make_unique<VmDirectory>())
+    , timer_(context_)
+    , runner_(context_, *store_, clock_)
+    , vms_(settings_.node, settings_.heartbeatInterval * silentHeartbeats)
+    , config_(opIds_, configReadInterval)
+    , flusher_(settings_.node, incarnationText(incarnation_), opIds_, usageFlushInterval)
+    , links_(context_, settings_.node, settings_.peerAddress, settings_.heartbeatInterval, *this)
+    , peerWork_(settings_.heartbeatInterval * silentHeartbeats)
+    , poller_(*platform_, endpoints_, loadPollInterval, [this] { scheduler_.pump(); })
+    , duties_(std::make_unique<Duties>(
+          settings_, incarnationText(incarnation_), context_, runner_, opIds_, endpoints_))
+{
+}
+
+Node::~Node()
+{
+    entryServer_.reset();
+    adminServer_.reset();
+    context_.stop();
+    if (thread_.joinable())
+        thread_.join();
+    duties_.reset();
+    upstream_.reset();
+    platform_.reset();
+}
+
+DispatchContext Node::dispatchContext()
+{
+    return {clock_, *upstream_, *store_, scheduler_, retries_, attemptIds_, usage_, metrics_};
+}
+
+Result<void> Node::start()
+{
+    BOOST_LEAF_ASSIGN(settings_.peerAddress.port, links_.start());
+    entryHandler_ = std::make_shared<EntryHandler>(EntryPlace{settings_.availabilityZone, settings_.region},
+        dispatchContext(), active_, directory_, gate_);
+    BOOST_LEAF_ASSIGN(entryServer_,
+        HttpServerBuilder()
+            .address(settings_.entryAddress.host)
+            .port(settings_.entryAddress.port)
+            .threads(settings_.requestThreads)
+            .handler(entryHandler_)
+            .start());
+    HttpServerLimits adminLimits;
+    adminLimits.maxBodyBytes = adminMaxBodyBytes;
+    adminLimits.maxConnections = 100;
+    BOOST_LEAF_ASSIGN(adminServer_,
+        HttpServerBuilder()
+            .address(settings_.adminAddress.host)
+            .port(settings_.adminAddress.port)
+            .limits(adminLimits)
+            .handler(std::make_shared<AdminHandler>(settings_.node, *this))
+            .start());
+    settings_.entryAddress.port = entryServer_->port();
+    settings_.adminAddress.port = adminServer_->port();
+    scheduleTick();
+    thread_ = std::thread([this] { context_.run(); });
+    LogEvent("node.started")
+        .with("node", settings_.node)
+        .with("entry", settings_.entryAddress.text())
+        .with("admin", settings_.adminAddress.text())
+        .with("peer", settings_.peerAddress.text());
+    return {};
+}
+
+void Node::scheduleTick()
+{
+    timer_.expires_after(tickInterval);
+    timer_.async_wait([this](const asio::error_code& error) {
+        if (error)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void Node::tick()
+{
+    Instant now = clock_.now();
+    tickConfig(now);
+    tickMembership(now);
+    tickUsage(now);
+    std::set<std::string> candidates = vms_.others();
+    std::erase_if(candidates, [&](const std::string& name) {
+        return now - vms_.entries().at(name).lastHeard > settings_.heartbeatInterval * silentHeartbeats
+            || vms_.entries().at(name).lastHeard == Instant::min();
+    });
+    duties_->tick(now, clock_.unixMillis(), candidates);
+    poller_.tick(now);
+    peerWork_.apply(now, endpoints_);
+    scheduler_.setNodeCount(vms_.usableCount(now));
+    scheduler_.pump();
+    tickDrain(now);
+}
+
+void Node::tickConfig(Instant now)
+{
+    runner_.run(config_.tick(now),
+        [this](Instant at, const StoreAnswer& answer) { return config_.onAnswer(at, answer); });
+    if (std::optional<std::string> peer = config_.takePeerToAsk(now))
+        links_.send(*peer, encodeFrame(PeerMessageKind::ConfigRequest, {}));
+    if (std::optional<AcceptedConfig> adopted = config_.takeAdopted())
+        install(*adopted);
+    if (config_.mayServeKeyed(now, vms_.others()))
+        gate_.allowUntil(now + gateValidity);
+    else
+        gate_.close();
+}
+
+void Node::install(const AcceptedConfig& config)
+{
+    const Rules& rules = *config.rules;
+    endpoints_.update(rules);
+    scheduler_.setLimits(rules.limits);
+    retries_.setPercent(rules.limits.retryPercent);
+    std::set<std::string> zones;
+    for (const EndpointRule& endpoint : rules.endpoints)
+        zones.insert(endpoint.availabilityZone);
+    duties_->setZones(zones);
+    active_.replace(std::make_unique<ActiveConfig>(config.head.version, config.rules));
+}
+
+VmInfo Node::selfInfo() const
+{
+    VmInfo vm;
+    vm.name = settings_.node;
+    vm.availabilityZone = settings_.availabilityZone;
+    vm.region = settings_.region;
+    vm.entryAddress = settings_.entryAddress;
+    vm.peerAddress = settings_.peerAddress;
+    vm.incarnation = incarnation_;
+    vm.isLeaving = phase_.load() != Phase::Serving || vms_.isSelfLeaving();
+    vm.isReady = !vm.isLeaving && config_.version() > 0 && gate_.isOpen(clock_.now());
+    return vm;
+}
+
+void Node::tickMembership(Instant now)
+{
+    vms_.setSelf(selfInfo());
+    pollVmList(now);
+    std::vector<SocketAddress> addresses = vms_.peerAddresses();
+    addresses.insert(addresses.end(), settings_.seedPeers.begin(), settings_.seedPeers.end());
+    links_.setAddresses(addresses);
+    links_.tick(now);
+    auto next = std::make_unique<VmDirectory>(VmDirectory{vms_.usable(now)});
+    bool isSame = false;
+    {
+        Snapshot<VmDirectory>::Reader current = directory_.read();
+        isSame = current->usable.size() == next->usable.size()
+            && std::equal(current->usable.begin(), current->usable.end(), next->usable.begin(),
+                [](const VmInfo& left, const VmInfo& right) {
+                    return left.name == right.name && left.entryAddress == right.entryAddress;
+                });
+    }
+    if (!isSame)
+        directory_.replace(std::move(next));
+}
+
+void Node::pollVmList(Instant now)
+{
+    if (now < nextVmPoll_)
+        return;
+    nextVmPoll_ = now + vmPollInterval;
+    platform_->start(HttpCallBuilder("GET", settings_.platformUrl + "/v1/vms")
+                         .connectTimeout(vmPollInterval)
+                         .totalTimeout(vmPollInterval)
+                         .build(),
+        [this](const HttpCallResult& result) {
+            if (result.isOk())
+                asio::post(context_, [this, body = result.body] { onVmList(body); });
+        });
+}
+
+void Node::onVmList(const std::string& body)
+{
+    Json document = parseJsonOrDiscard(body);
+    if (!document.is_object())
+        return;
+    if (document.contains("vms") && document["vms"].is_array()) {
+        std::vector<VmInfo> vms;
+        for (const Json& item : document["vms"]) {
+            VmInfo vm;
+            vm.name = stringMember(item, "name");
+            vm.availabilityZone = stringMember(item, "availability_zone");
+            vm.region = stringMember(item, "region");
+            vm.entryAddress = addressMember(item, "entry_address");
+            vm.peerAddress = addressMember(item, "peer_address");
+            vm.isLeaving = booleanMember(item, "leaving");
+            vms.push_back(std::move(vm));
+        }
+        vms_.onPlatformList(clock_.now(), vms);
+    }
+    if (document.contains("endpoints") && document["endpoints"].is_array()) {
+        for (const Json& item : document["endpoints"]) {
+            EndpointPointer endpoint = endpoints_.find(stringMember(item, "name"));
+            if (endpoint && booleanMember(item, "leaving"))
+                endpoint->setLeaving(static_cast<std::uint64_t>(integerMember(item, "incarnation")));
+        }
+    }
+}
+
+void Node::tickUsage(Instant now)
+{
+    if (phase_.load() == Phase::Finishing)
+        flusher_.flushSoon();
+    runner_.run(flusher_.tick(now, usage_.totals()),
+        [this](Instant at, const StoreAnswer& answer) { return flusher_.onAnswer(at, answer); });
+    usage_.forgetBefore(usage_.windowOf(clock_.unixMillis()) - retainedWindows);
+}
+
+PeerDigest Node::makeDigest(const std::string& peer)
+{
+    Instant now = clock_.now();
+    PeerDigest digest;
+    digest.sender = selfInfo();
+    digest.sequence = ++sequence_;
+    heartbeatSentAt_[sequence_] = now;
+    if (heartbeatSentAt_.size() > rememberedHeartbeats)
+        heartbeatSentAt_.erase(heartbeatSentAt_.begin());
+    auto last = lastSequence_.find(peer);
+    digest.echo = last == lastSequence_.end() ? 0 : last->second;
+    digest.configVersion = config_.version();
+    digest.proofAgeMillis = (now - config_.provedAt()).count();
+    digest.isStoreDown = config_.isStoreDown();
+    for (const EndpointPointer& endpoint : endpoints_.all()) {
+        if (endpoint->isLeaving())
+            digest.leavingEndpoints[endpoint->name()] = endpoint->incarnation();
+        if (endpoint->ownRunning() > 0)
+            digest.shares.push_back({endpoint->name(), endpoint->ownRunning(), endpoint->ownPieces()});
+    }
+    return digest;
+}
+
+void Node::onDigest(const std::string& peer, const PeerDigest& digest)
+{
+    Instant now = clock_.now();
+    lastSequence_[peer] = digest.sequence;
+    vms_.onHeartbeat(now, digest.sender);
+    peerWork_.onDigest(now, peer, digest.shares);
+    for (const auto& leaving : digest.leavingEndpoints) {
+        if (EndpointPointer endpoint = endpoints_.find(leaving.first))
+            endpoint->setLeaving(leaving.second);
+    }
+    PeerStatement statement;
+    statement.peer = peer;
+    statement.version = digest.configVersion;
+    statement.isStoreDown = digest.isStoreDown;
+    auto echoed = heartbeatSentAt_.find(digest.echo);
+    if (echoed != heartbeatSentAt_.end()) {
+        statement.madeAt = echoed->second;
+        statement.provedAt = echoed->second - Millis(std::max<std::int64_t>(0, digest.proofAgeMillis));
+    }
+    config_.onPeerStatement(now, statement);
+}
+
+void Node::onFrame(const std::string& peer, const PeerFrame& frame)
+{
+    if (frame.kind == PeerMessageKind::ConfigRequest && config_.version() > 0) {
+        links_.send(peer, encodeConfigBody({config_.current().head, config_.current().text}));
+        return;
+    }
+    if (frame.kind != PeerMessageKind::ConfigBody)
+        return;
+    if (std::optional<ConfigBody> body = decodeConfigBody(frame.payload))
+        config_.onPeerBody(clock_.now(), body->head, body->text);
+}
+
+void Node::drain()
+{
+    asio::post(context_, [this] {
+        Phase expected = Phase::Serving;
+        if (!phase_.compare_exchange_strong(expected, Phase::Leaving))
+            return;
+        Instant now = clock_.now();
+        Millis validity = active_.read()->rules->limits.entryAnswerValidity;
+        leaveUntil_ = now + validity + settings_.heartbeatInterval * 2;
+        finishBy_ = leaveUntil_ + settings_.drainBound;
+        duties_->releaseAll();
+        LogEvent("node.drain").with("node", settings_.node).with("active", metrics_.active.load());
+    });
+}
+
+bool Node::hasFinished()
+{
+    return metrics_.active.load() == 0 && duties_->isReleased() && flusher_.hasFlushed(usage_.totals());
+}
+
+void Node::tickDrain(Instant now)
+{
+    bool isIdleEarly = phase_.load() == Phase::Leaving && now >= leaveUntil_;
+    if (isIdleEarly) {
+        entryHandler_->refuseNew();
+        phase_.store(Phase::Finishing);
+    }
+    if (phase_.load() != Phase::Finishing || (!hasFinished() && now < finishBy_))
+        return;
+    LogEvent("node.drained")
+        .with("node", settings_.node)
+        .with("active", metrics_.active.load())
+        .with("usage_flushed", flusher_.hasFlushed(usage_.totals()));
+    {
+        std::lock_guard<std::mutex> lock(endMutex_);
+        phase_.store(Phase::Ended);
+    }
+    ended_.notify_all();
+}
+
+void Node::waitUntilDrained()
+{
+    std::unique_lock<std::mutex> lock(endMutex_);
+    ended_.wait(lock, [this] { return phase_.load() == Phase::Ended; });
+}
+
+bool Node::isReady()
+{
+    return phase_.load() == Phase::Serving && active_.read()->version > 0 && gate_.isOpen(clock_.now());
+}
+
+Json Node::statusJson(Instant now)
+{
+    Json vms = Json::array();
+    for (const auto& entry : vms_.entries()) {
+        const VmInfo& vm = entry.second.info;
+        bool isHeard = entry.second.lastHeard != Instant::min();
+        vms.push_back({{"name", vm.name}, {"availability_zone", vm.availabilityZone}, {"ready", vm.isReady},
+            {"leaving", vm.isLeaving}, {"listed", entry.second.isListed},
+            {"silent_ms", isHeard ? (now - entry.second.lastHeard).count() : -1}});
+    }
+    Json endpoints = Json::array();
+    for (const EndpointPointer& endpoint : endpoints_.all()) {
+        endpoints.push_back({{"name", endpoint->name()}, {"service", endpoint->rule().service},
+            {"availability_zone", endpoint->rule().availabilityZone}, {"running", endpoint->running()},
+            {"pieces_used", endpoint->piecesUsed()}, {"leaving", endpoint->isLeaving()},
+            {"usable", endpoint->isUsable(now, active_.read()->rules->limits.endpointStateBound)}});
+    }
+    return {{"node", settings_.node}, {"ready", isReady()}, {"config_version", config_.version()},
+        {"store_down", config_.isStoreDown()},
+        {"proof_age_ms", config_.version() ? (now - config_.provedAt()).count() : -1}, {"vms", vms},
+        {"endpoints", endpoints}, {"duties", duties_->dump(now)}};
+}
+
+void Node::status(std::function<void(Json)> onDone)
+{
+    asio::post(context_, [this, onDone = std::move(onDone)] { onDone(statusJson(clock_.now())); });
+}
+
+void Node::dump(std::function<void(Json)> onDone)
+{
+    asio::post(context_, [this, onDone = std::move(onDone)] {
+        Json state = statusJson(clock_.now());
+        state["incarnation"] = incarnation_;
+        state["queued"] = scheduler_.queued();
+        state["active"] = metrics_.active.load();
+        state["running_teams"] = scheduler_.runningTeams();
+        state["retry_budget_hundredths"] = retries_.hundredths();
+        state["prefix_entries"] = prefixes_.size();
+        state["peers"] = links_.connectedPeers();
+        state["peer_bytes_sent"] = links_.bytesSent();
+        state["store_calls"] = runner_.calls();
+        state["usage_flushed"] = flusher_.hasFlushed(usage_.totals());
+        state["broken_invariants"] = brokenInvariants();
+        onDone(std::move(state));
+    });
+}
+
+MetricValues Node::metrics()
+{
+    MetricValues values;
+    auto count = [&](const char* name, const std::atomic<std::uint64_t>& counter) {
+        values.counters[name] = static_cast<double>(counter.load());
+    };
+    count("requests", metrics_.requests);
+    count("answers_whole", metrics_.whole);
+    count("refused_not_run", metrics_.refusedNotRun);
+    count("outcome_unknown", metrics_.outcomeUnknown);
+    count("answers_cut", metrics_.cut);
+    count("retries", metrics_.retries);
+    count("resumes", metrics_.resumes);
+    count("replays", metrics_.replays);
+    count("callers_gone", metrics_.callersGone);
+    count("mismatched_answers", metrics_.mismatchedAnswers);
+    count("output_tokens", metrics_.tokens);
+    values.counters["broken_invariants"] = static_cast<double>(brokenInvariants());
+    values.gauges["active_requests"] = static_cast<double>(metrics_.active.load());
+    values.gauges["queued_requests"] = static_cast<double>(scheduler_.queued());
+    values.gauges["config_version"] = static_cast<double>(active_.read()->version);
+    values.gauges["ready"] = isReady() ? 1 : 0;
+    for (const EndpointPointer& endpoint : endpoints_.all())
+        values.endpointRunning[endpoint->name()] = static_cast<double>(endpoint->ownRunning());
+    return values;
+}
+
+void Node::currentConfig(std::function<void(std::uint64_t, const std::string&)> onDone)
+{
+    asio::post(
+        context_, [this, onDone = std::move(onDone)] { onDone(config_.version(), config_.current().text); });
+}
+
+void Node::applyConfig(std::string text, std::uint64_t expectedVersion, std::string changeId,
+    std::function<void(ApplyOutcome)> onDone)
+{
+    asio::post(context_,
+        [this, text = std::move(text), expectedVersion, changeId = std::move(changeId),
+            onDone = std::move(onDone)]() mutable {
+            auto publisher = std::make_shared<ConfigPublisher>(
+                std::move(text), expectedVersion, std::move(changeId), opIds_);
+            runner_.run(publisher->start(),
+                [publisher, onDone = std::move(onDone)](Instant now, const StoreAnswer& answer) {
+                    StoreOps next = publisher->onAnswer(now, answer);
+                    switch (publisher->state()) {
+                    case PublishState::Running:
+                        break;
+                    case PublishState::Accepted:
+                        onDone({ApplyOutcome::Kind::Accepted, publisher->versionInForce()});
+                        break;
+                    case PublishState::Conflict:
+                        onDone({ApplyOutcome::Kind::Conflict, publisher->versionInForce()});
+                        break;
+                    case PublishState::NotAccepted:
+                        onDone({ApplyOutcome::Kind::NotAccepted, 0});
+                        break;
+                    case PublishState::Unknown:
+                        onDone({ApplyOutcome::Kind::Unknown, 0});
+                        break;
+                    }
+                    return next;
+                });
+        });
+}
+
+void Node::order(EndpointOrder order, std::function<void(OrderOutcome)> onDone)
+{
+    asio::post(context_, [this, order = std::move(order), onDone = std::move(onDone)]() mutable {
+        EndpointPointer endpoint = endpoints_.find(order.endpoint);
+        if (!endpoint) {
+            onDone({OrderOutcome::Kind::NoSuchEndpoint, {}});
+            return;
+        }
+        std::string zone = endpoint->rule().availabilityZone;
+        onDone(duties_->order(std::move(order), zone));
+    });
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/node/node.h
@@ -0,0 +1,135 @@
+// One entry VM's process: wires the packages together and runs them on their threads.
+//
+//     Node node(settings);
+//     Result<void> started = node.start();
+//     node.drain();          // on SIGTERM
+//     node.waitUntilDrained();
+//
+// Threads: request threads (RESTinio), one for the operators' port, one for calls to endpoints and one for
+// calls to the platform (libcurl), one that sends orders, and the control thread, to which all protocol state
+// belongs.
+#pragma once
+
+#include "ragwortwinch/admin/node_control.h"
+#include "ragwortwinch/config/config_keeper.h"
+#include "ragwortwinch/config/config_publisher.h"
+#include "ragwortwinch/config/settings.h"
+#include "ragwortwinch/entry/entry_handler.h"
+#include "ragwortwinch/membership/peer_links.h"
+#include "ragwortwinch/membership/vm_table.h"
+#include "ragwortwinch/node/duties.h"
+#include "ragwortwinch/node/load_poller.h"
+#include "ragwortwinch/node/peer_work.h"
+#include "ragwortwinch/node/store_runner.h"
+#include "ragwortwinch/routing/scoring_router.h"
+#include "ragwortwinch/usage/usage_flusher.h"
+
+#include <asio.hpp>
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace ragwortwinch {
+
+class Node final : public NodeControl, private PeerListener {
+public:
+    explicit Node(Settings settings);
+    ~Node() override;
+
+    // Opens the three ports and starts all threads.
+    Result<void> start();
+    // Blocks until a drain that was started has ended.
+    void waitUntilDrained();
+
+    std::uint16_t entryPort() const { return entryServer_->port(); }
+    std::uint16_t adminPort() const { return adminServer_->port(); }
+    std::uint16_t peerPort() const { return settings_.peerAddress.port; }
+
+    bool isReady() override;
+    void dump(std::function<void(Json)> onDone) override;
+    void status(std::function<void(Json)> onDone) override;
+    MetricValues metrics() override;
+    void currentConfig(std::function<void(std::uint64_t, const std::string&)> onDone) override;
+    void applyConfig(std::string text, std::uint64_t expectedVersion, std::string changeId,
+        std::function<void(ApplyOutcome)> onDone) override;
+    void order(EndpointOrder order, std::function<void(OrderOutcome)> onDone) override;
+    void drain() override;
+
+private:
+    enum class Phase {
+        Serving,
+        // No longer offered; callers may still hold the answer that named this node.
+        Leaving,
+        // Waits for running requests, leases and usage.
+        Finishing,
+        Ended,
+    };
+
+    PeerDigest makeDigest(const std::string& peer) override;
+    void onDigest(const std::string& peer, const PeerDigest& digest) override;
+    void onFrame(const std::string& peer, const PeerFrame& frame) override;
+
+    void scheduleTick();
+    void tick();
+    void tickConfig(Instant now);
+    void install(const AcceptedConfig& config);
+    void tickMembership(Instant now);
+    void pollVmList(Instant now);
+    void onVmList(const std::string& body);
+    void tickUsage(Instant now);
+    void tickDrain(Instant now);
+    bool hasFinished();
+    DispatchContext dispatchContext();
+    VmInfo selfInfo() const;
+    Json statusJson(Instant now);
+
+    Settings settings_;
+    SystemClock clock_;
+    std::uint64_t incarnation_;
+    OpIds opIds_;
+    RandomIds attemptIds_;
+    std::unique_ptr<HttpClient> upstream_;
+    std::unique_ptr<HttpClient> platform_;
+    std::unique_ptr<KeyValueStore> store_;
+    EndpointTable endpoints_;
+    PrefixIndex prefixes_;
+    ScoringRouter router_;
+    Scheduler scheduler_;
+    RetryBudget retries_;
+    UsageCounter usage_;
+    DispatchMetrics metrics_;
+    Snapshot<ActiveConfig> active_;
+    Snapshot<VmDirectory> directory_;
+    KeyedGate gate_;
+
+    // Everything from here on belongs to the control thread.
+    asio::io_context context_;
+    asio::steady_timer timer_;
+    StoreRunner runner_;
+    VmTable vms_;
+    ConfigKeeper config_;
+    UsageFlusher flusher_;
+    PeerLinks links_;
+    PeerWork peerWork_;
+    LoadPoller poller_;
+    std::unique_ptr<Duties> duties_;
+    // The sequence number of our heartbeats, when each of the latest was sent, and the last one of each peer.
+    std::uint64_t sequence_ = 0;
+    std::map<std::uint64_t, Instant> heartbeatSentAt_;
+    std::map<std::string, std::uint64_t> lastSequence_;
+    Instant nextVmPoll_;
+    Instant leaveUntil_;
+    Instant finishBy_;
+
+    std::atomic<Phase> phase_{Phase::Serving};
+    std::mutex endMutex_;
+    std::condition_variable ended_;
+    std::shared_ptr<EntryHandler> entryHandler_;
+    std::unique_ptr<HttpServer> entryServer_;
+    std::unique_ptr<HttpServer> adminServer_;
+    std::thread thread_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/node/store_runner.h
@@ -0,0 +1,50 @@
+// Executes the store operations of protocol classes and brings the answers back to the control thread.
+//
+//     runner.run(keeper.tick(now), [&](Instant now, const StoreAnswer& answer) { return keeper.onAnswer(now,
+//     answer); });
+//
+// Belongs to the control thread.
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+#include "ragwortwinch/store/key_value_store.h"
+
+#include <asio.hpp>
+#include <functional>
+
+namespace ragwortwinch {
+
+class StoreRunner {
+public:
+    // Takes an answer and returns operations that follow from it.
+    using OnAnswer = std::function<StoreOps(Instant now, const StoreAnswer& answer)>;
+
+    // All references outlive the runner.
+    StoreRunner(asio::io_context& context, KeyValueStore& store, const Clock& clock)
+        : context_(context)
+        , store_(store)
+        , clock_(clock)
+    {
+    }
+
+    void run(StoreOps ops, const OnAnswer& onAnswer)
+    {
+        for (StoreOp& op : ops) {
+            ++calls_;
+            store_.execute(std::move(op), [this, onAnswer](const StoreAnswer& answer) {
+                asio::post(
+                    context_, [this, onAnswer, answer] { run(onAnswer(clock_.now(), answer), onAnswer); });
+            });
+        }
+    }
+
+    std::uint64_t calls() const { return calls_; }
+
+private:
+    asio::io_context& context_;
+    KeyValueStore& store_;
+    const Clock& clock_;
+    std::uint64_t calls_ = 0;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/routing/endpoint_table.h
@@ -0,0 +1,33 @@
+// All endpoints of the rules in force, read by request threads without locks.
+//
+//     EndpointTable table;
+//     table.update(rules);                      // control thread; known endpoints keep their state
+//     std::vector<EndpointPointer> list = table.ofService("brew-model");
+#pragma once
+
+#include "ragwortwinch/base/snapshot.h"
+#include "ragwortwinch/routing/endpoint_state.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace ragwortwinch {
+
+// `update` belongs to one thread; the rest is thread-safe.
+class EndpointTable {
+public:
+    EndpointTable();
+
+    void update(const Rules& rules);
+    std::vector<EndpointPointer> ofService(const std::string& service) const;
+    EndpointPointer find(const std::string& name) const;
+    std::vector<EndpointPointer> all() const;
+
+private:
+    using ByService = std::map<std::string, std::vector<EndpointPointer>>;
+
+    Snapshot<ByService> byService_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/routing/scoring_router.cc
@@ -0,0 +1,53 @@
+#include "ragwortwinch/routing/scoring_router.h"
+
+#include <algorithm>
+
+namespace ragwortwinch {
+
+ScoringRouter::ScoringRouter(ScoringOptions options, PrefixIndex& prefixes)
+    : options_(std::move(options))
+    , prefixes_(prefixes)
+{
+}
+
+double ScoringRouter::score(const RouteQuery& query, const EndpointState& endpoint, Instant now) const
+{
+    double cached = static_cast<double>(prefixes_.match(endpoint.name(), query.prefixes))
+        * static_cast<double>(prefixBlockTokens);
+    double toPrefill = std::max(0.0, static_cast<double>(query.promptTokens) - cached)
+        + static_cast<double>(endpoint.queuedPrefillTokens());
+    double prefillMillis = toPrefill / options_.prefillRate * 1000;
+    double ageSeconds = std::clamp(static_cast<double>(endpoint.reportAge(now).count()) / 1000, 0.0, 10.0);
+    double queueMillis = static_cast<double>(endpoint.running()) * options_.runningMillis * (1 + ageSeconds);
+    double wayMillis = 0;
+    if (endpoint.rule().region != options_.region) {
+        double thousands = static_cast<double>(query.promptTokens + query.outputTokens) / 1000;
+        wayMillis = options_.regionMillis + options_.regionPriceMillis * thousands;
+    } else if (endpoint.rule().availabilityZone != options_.availabilityZone)
+        wayMillis = options_.zoneMillis;
+    return prefillMillis + queueMillis + wayMillis;
+}
+
+EndpointPointer ScoringRouter::choose(const RouteQuery& query, const std::vector<EndpointPointer>& candidates,
+    const Limits& limits, Instant now)
+{
+    EndpointPointer best;
+    double bestScore = 0;
+    for (const EndpointPointer& candidate : candidates) {
+        if (!hasRoom(*candidate, query, limits, now))
+            continue;
+        double candidateScore = score(query, *candidate, now);
+        if (!best || candidateScore < bestScore) {
+            best = candidate;
+            bestScore = candidateScore;
+        }
+    }
+    return best;
+}
+
+void ScoringRouter::onDispatched(const RouteQuery& query, const EndpointState& endpoint)
+{
+    prefixes_.add(endpoint.name(), query.prefixes);
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/store/key_value_store.h
@@ -0,0 +1,28 @@
+// The platform's key-value service: compare-and-swap, leases (keys that expire) and lists.
+//
+//     std::unique_ptr<KeyValueStore> store = makeHttpKeyValueStore(client, "http://10.0.0.2:8000");
+//     store->execute(StoreOp::get(1, "config/head"), [](StoreAnswer answer) { ... });
+#pragma once
+
+#include "ragwortwinch/net/http_client.h"
+#include "ragwortwinch/store/store_op.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace ragwortwinch {
+
+// Thread-safe. Callbacks run on a thread of the implementation and must not block.
+class KeyValueStore {
+public:
+    virtual ~KeyValueStore() = default;
+    virtual void execute(StoreOp, std::function<void(StoreAnswer)>) = 0;
+};
+
+// The service's HTTP interface. `client` outlives the store. A write gets a fresh connection, so that the
+// HTTP library never repeats it; `timeout` bounds each call.
+std::unique_ptr<KeyValueStore> makeHttpKeyValueStore(
+    HttpClient& client, std::string baseUrl, Millis timeout = Millis(1000));
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/store/store_op.h
@@ -0,0 +1,109 @@
+// Operations on the platform's key-value service, as plain values: protocol classes return them and are given
+// the answers, so that they hold no sockets.
+//
+//     StoreOp op = StoreOp::put(id, "lease/usage/0", text, 0);   // create only
+#pragma once
+
+#include "ragwortwinch/base/name_table.h"
+#include "ragwortwinch/base/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ragwortwinch {
+
+enum class StoreVerb {
+    Get,
+    Put,
+    KeepAlive,
+    Delete,
+    List,
+};
+
+inline constexpr NameTable<StoreVerb, 5> storeVerbNames{{{
+    {StoreVerb::Get, "get"},
+    {StoreVerb::Put, "put"},
+    {StoreVerb::KeepAlive, "keep_alive"},
+    {StoreVerb::Delete, "delete"},
+    {StoreVerb::List, "list"},
+}}};
+
+// What is known after an operation.
+enum class StoreStatus {
+    Ok,
+    NotFound,
+    // The compare failed; nothing was changed.
+    Conflict,
+    // The store said that it did nothing.
+    Unavailable,
+    // No answer: the operation may have taken effect.
+    Unknown,
+};
+
+inline constexpr NameTable<StoreStatus, 5> storeStatusNames{{{
+    {StoreStatus::Ok, "ok"},
+    {StoreStatus::NotFound, "not_found"},
+    {StoreStatus::Conflict, "conflict"},
+    {StoreStatus::Unavailable, "unavailable"},
+    {StoreStatus::Unknown, "unknown"},
+}}};
+
+struct StoreEntry {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+};
+
+// One operation. `expectedRevision` 0 means "only if the key is absent"; nothing means "whatever it is".
+struct StoreOp {
+    std::uint64_t id = 0;
+    StoreVerb verb = StoreVerb::Get;
+    // The key, or the prefix of a list.
+    std::string key;
+    std::string value;
+    std::optional<std::uint64_t> expectedRevision;
+    // Zero means that the key does not expire.
+    Millis ttl{0};
+
+    static StoreOp get(std::uint64_t id, std::string key)
+    {
+        return {id, StoreVerb::Get, std::move(key), {}, {}, Millis(0)};
+    }
+    static StoreOp list(std::uint64_t id, std::string prefix)
+    {
+        return {id, StoreVerb::List, std::move(prefix), {}, {}, Millis(0)};
+    }
+    static StoreOp put(
+        std::uint64_t id, std::string key, std::string value, std::uint64_t expected, Millis ttl = Millis(0))
+    {
+        return {id, StoreVerb::Put, std::move(key), std::move(value), expected, ttl};
+    }
+    static StoreOp keepAlive(std::uint64_t id, std::string key, std::uint64_t expected, Millis ttl)
+    {
+        return {id, StoreVerb::KeepAlive, std::move(key), {}, expected, ttl};
+    }
+    static StoreOp remove(std::uint64_t id, std::string key, std::uint64_t expected)
+    {
+        return {id, StoreVerb::Delete, std::move(key), {}, expected, Millis(0)};
+    }
+};
+
+struct StoreAnswer {
+    std::uint64_t opId = 0;
+    StoreStatus status = StoreStatus::Unknown;
+    // The key's revision after the operation, or the current one after a conflict.
+    std::uint64_t revision = 0;
+    std::string value;
+    std::vector<StoreEntry> entries;
+
+    bool isOk() const { return status == StoreStatus::Ok; }
+    // True when the store can't be reached or refuses to work.
+    bool isOutage() const { return status == StoreStatus::Unavailable || status == StoreStatus::Unknown; }
+};
+
+using StoreOps = std::vector<StoreOp>;
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/usage/usage_counter.h
@@ -0,0 +1,44 @@
+// Counts what teams use, on the path of requests.
+//
+//     UsageCounter counter(Millis(60000));
+//     counter.add("riders", { 1, 420, 96 }, clock.unixMillis());
+//     WindowUsage totals = counter.totals();
+//
+// Thread-safe; teams are spread over shards with a mutex each.
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+#include "ragwortwinch/usage/usage_figures.h"
+
+#include <array>
+#include <mutex>
+
+namespace ragwortwinch {
+
+class UsageCounter {
+public:
+    explicit UsageCounter(Millis windowLength)
+        : windowLength_(windowLength)
+    {
+    }
+
+    // Adds to the window that `unixMillis` falls into.
+    void add(const std::string& team, const UsageFigures& figures, std::int64_t unixMillis);
+    // Returns the totals of this process for every window that is still kept.
+    WindowUsage totals() const;
+    // Forgets windows before `window`.
+    void forgetBefore(WindowId window);
+    WindowId windowOf(std::int64_t unixMillis) const { return unixMillis / windowLength_.count(); }
+
+private:
+    struct Shard {
+        mutable std::mutex mutex;
+        WindowUsage windows;
+    };
+    static constexpr std::size_t shardCount = 16;
+
+    Millis windowLength_;
+    std::array<Shard, shardCount> shards_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/usage/usage_figures.cc
@@ -0,0 +1,67 @@
+#include "ragwortwinch/usage/usage_figures.h"
+
+#include <charconv>
+
+namespace ragwortwinch {
+
+UsageFigures& UsageFigures::operator+=(const UsageFigures& other)
+{
+    requests += other.requests;
+    promptTokens += other.promptTokens;
+    outputTokens += other.outputTokens;
+    return *this;
+}
+
+UsageFigures& UsageFigures::operator-=(const UsageFigures& other)
+{
+    requests -= other.requests;
+    promptTokens -= other.promptTokens;
+    outputTokens -= other.outputTokens;
+    return *this;
+}
+
+Json toJson(const TeamUsage& usage)
+{
+    Json object = Json::object();
+    for (const auto& entry : usage)
+        object[entry.first] = {entry.second.requests, entry.second.promptTokens, entry.second.outputTokens};
+    return object;
+}
+
+Json toJson(const WindowUsage& usage)
+{
+    Json object = Json::object();
+    for (const auto& entry : usage)
+        object[std::to_string(entry.first)] = toJson(entry.second);
+    return object;
+}
+
+TeamUsage teamUsageFromJson(const Json& object)
+{
+    TeamUsage usage;
+    if (!object.is_object())
+        return usage;
+    for (const auto& member : object.items()) {
+        const Json& list = member.value();
+        if (list.is_array() && list.size() == 3)
+            usage[member.key()]
+                = {list[0].get<std::int64_t>(), list[1].get<std::int64_t>(), list[2].get<std::int64_t>()};
+    }
+    return usage;
+}
+
+WindowUsage windowUsageFromJson(const Json& object)
+{
+    WindowUsage usage;
+    if (!object.is_object())
+        return usage;
+    for (const auto& member : object.items()) {
+        WindowId window = 0;
+        const std::string& key = member.key();
+        if (std::from_chars(key.data(), key.data() + key.size(), window).ec == std::errc())
+            usage[window] = teamUsageFromJson(member.value());
+    }
+    return usage;
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/testing/stand_in/engine_main.cc
@@ -0,0 +1,280 @@
+// Stand-in for a model engine: batches continuously, streams tokens, resumes from an offset, keeps a prefix
+// cache, hands out memory in pieces, reports its load with a lag, takes orders with or without a check of
+// fencing numbers.
+//
+// The text of an answer depends on the prompt only, so that a resumed answer can be compared with a whole
+// one. Control routes: POST /control/fault, POST /control/leave, GET /control/state (orders taken, headers
+// last seen).
+#include "ragwortwinch/base/time.h"
+#include "testing/stand_in/fault.h"
+#include "testing/stand_in/program.h"
+
+#include <fmt/format.h>
+#include <list>
+#include <map>
+#include <set>
+#include <thread>
+
+namespace ragwortwinch::stand_in {
+namespace {
+
+constexpr std::size_t bytesPerToken = 4;
+constexpr std::size_t cacheBlockBytes = 256;
+constexpr Millis tick{5};
+constexpr Millis roleChangePause{2000};
+
+struct Generation {
+    std::shared_ptr<HttpResponder> responder;
+    std::string requestId;
+    std::string model;
+    std::size_t seed = 0;
+    std::int64_t next = 0;
+    std::int64_t end = 0;
+    std::int64_t pieces = 0;
+    Instant startsAt;
+    double credit = 0;
+};
+
+class Engine final : public HttpHandler {
+public:
+    explicit Engine(const ProgramOptions& options)
+        : name_(options.at("name"))
+        , tokenRate_(std::stod(options.at("token-rate")))
+        , prefillRate_(std::stod(options.at("prefill-rate")))
+        , piecesTotal_(std::stol(options.at("pieces")))
+        , tokensPerPiece_(std::stol(options.at("tokens-per-piece")))
+        , lag_(std::stol(options.at("lag-ms")))
+        , checksFencing_(options.at("checks-fencing") == "true")
+        , incarnation_(static_cast<std::uint64_t>(clock_.unixMillis()))
+        , thread_([this] { run(); })
+    {
+    }
+    ~Engine() override
+    {
+        isStopping_ = true;
+        thread_.join();
+    }
+
+    void handle(HttpRequest request, std::shared_ptr<HttpResponder> responder) override
+    {
+        if (request.path == "/control/fault") {
+            fault_.set(request.body);
+            responder->send(jsonResponse(200, "{}"));
+        } else if (request.path == "/control/leave") {
+            isLeaving_ = true;
+            responder->send(jsonResponse(200, "{}"));
+        } else if (request.path == "/control/state")
+            responder->send(state());
+        else if (fault_.is(FaultMode::Silent))
+            fault_.swallow(responder);
+        else if (request.path == "/v1/load")
+            responder->send(load());
+        else if (request.path == "/v1/orders")
+            responder->send(order(request));
+        else if (request.path == "/v1/chat/completions")
+            chat(request, responder);
+        else
+            responder->send(jsonResponse(404, R"({"error":{"message":"no such route"}})"));
+    }
+
+private:
+    static HttpResponse refusal()
+    {
+        HttpResponse response = jsonResponse(503, R"({"error":{"message":"no room"}})");
+        response.headers.add("X-Not-Run", "1");
+        return response;
+    }
+
+    void chat(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
+    {
+        Json body = parseJsonOrDiscard(request.body);
+        std::string prompt = body.value("messages", Json::array()).dump();
+        Generation generation;
+        generation.responder = responder;
+        generation.requestId = stringMember(body, "request_id");
+        generation.model = stringMember(body, "model");
+        generation.seed = std::hash<std::string>()(prompt);
+        generation.end = std::max<std::int64_t>(1, integerMember(body, "max_tokens"));
+        if (body.contains("continue_from"))
+            generation.next = integerMember(body["continue_from"], "offset");
+        std::int64_t promptTokens = static_cast<std::int64_t>(prompt.size() / bytesPerToken) + 1;
+        generation.pieces = (promptTokens + generation.end + tokensPerPiece_ - 1) / tokensPerPiece_;
+
+        std::lock_guard<std::mutex> lock(mutex_);
+        lastHeaders_ = Json::object();
+        for (const HttpHeaders::Field& field : request.headers.fields())
+            lastHeaders_[field.first] = field.second;
+        lastBody_ = request.body;
+        Instant now = clock_.now();
+        if (fault_.is(FaultMode::Outage) || now < busyUntil_
+            || piecesUsed_ + generation.pieces > piecesTotal_) {
+            responder->send(refusal());
+            return;
+        }
+        piecesUsed_ += generation.pieces;
+        std::int64_t uncached = promptTokens - takeFromCache(prompt);
+        Millis prefill(static_cast<std::int64_t>(static_cast<double>(uncached) / prefillRate_ * 1000));
+        prefillUntil_ = std::max(prefillUntil_, now) + prefill;
+        generation.startsAt = prefillUntil_;
+        HttpHeaders headers;
+        headers.add("Content-Type", "text/event-stream");
+        headers.add("X-Attempt-Id",
+            fault_.is(FaultMode::WrongId) ? "somebody-else"
+                                          : std::string(request.headers.get("X-Attempt-Id")));
+        headers.add("X-Prompt-Tokens", std::to_string(promptTokens));
+        responder->beginStream(200, std::move(headers));
+        running_.push_back(std::move(generation));
+    }
+
+    // Returns how many prompt tokens the cache saves, and puts the prompt's blocks into it.
+    std::int64_t takeFromCache(const std::string& prompt)
+    {
+        std::int64_t hits = 0;
+        bool isHit = true;
+        std::size_t hash = 0;
+        for (std::size_t start = 0; start + cacheBlockBytes <= prompt.size(); start += cacheBlockBytes) {
+            hash = hash * 31 + std::hash<std::string>()(prompt.substr(start, cacheBlockBytes));
+            isHit = isHit && cache_.contains(hash);
+            hits += isHit ? 1 : 0;
+            cache_.insert(hash);
+        }
+        return hits * static_cast<std::int64_t>(cacheBlockBytes / bytesPerToken);
+    }
+
+    static std::string chunk(const Generation& generation, std::int64_t index)
+    {
+        bool isLast = index + 1 >= generation.end;
+        std::size_t word = (generation.seed ^ static_cast<std::size_t>(index) * 2654435761U) % 1000;
+        return fmt::format(
+            "id: {}\ndata: "
+            "{{\"id\":\"{}\",\"object\":\"chat.completion.chunk\",\"model\":\"{}\",\"choices\":[{{\"index\":"
+            "0,\"delta\":{{\"content\":\"w{} \"}},\"finish_reason\":{}}}]}}\n\n",
+            index, generation.requestId, generation.model, word, isLast ? "\"stop\"" : "null");
+    }
+
+    // Emits what is due; returns false when the generation has ended.
+    bool advance(Generation& generation, Instant now)
+    {
+        if (generation.responder->isClosed())
+            return false;
+        if (now < generation.startsAt || fault_.is(FaultMode::Silent))
+            return true;
+        generation.credit += tokenRate_ * static_cast<double>(tick.count()) / 1000;
+        std::string output;
+        for (; generation.credit >= 1 && generation.next < generation.end; generation.credit -= 1)
+            output += chunk(generation, generation.next++);
+        bool isEnd = generation.next >= generation.end;
+        if (isEnd)
+            output += fmt::format("id: {}\ndata: [DONE]\n\n", generation.end);
+        generation.responder->writeStream(std::move(output));
+        if (isEnd)
+            generation.responder->endStream();
+        return !isEnd;
+    }
+
+    void run()
+    {
+        while (!isStopping_) {
+            std::this_thread::sleep_for(tick);
+            std::lock_guard<std::mutex> lock(mutex_);
+            Instant now = clock_.now();
+            for (auto generation = running_.begin(); generation != running_.end();) {
+                if (advance(*generation, now)) {
+                    ++generation;
+                    continue;
+                }
+                piecesUsed_ -= generation->pieces;
+                generation = running_.erase(generation);
+            }
+            if (now >= nextReport_) {
+                nextReport_ = now + lag_;
+                std::int64_t queuedPrefill = static_cast<std::int64_t>(
+                    static_cast<double>(std::max<std::int64_t>(0, (prefillUntil_ - now).count())) / 1000
+                    * prefillRate_);
+                report_ = {{"running", running_.size()}, {"pieces_used", piecesUsed_},
+                    {"pieces_total", piecesTotal_}, {"queued_prefill_tokens", queuedPrefill},
+                    {"role", role_}};
+            }
+        }
+    }
+
+    HttpResponse load()
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        Json report = report_;
+        report["leaving"] = isLeaving_.load();
+        report["incarnation"] = incarnation_;
+        return jsonResponse(200, report.dump());
+    }
+
+    HttpResponse order(const HttpRequest& request)
+    {
+        Json body = parseJsonOrDiscard(request.body);
+        std::lock_guard<std::mutex> lock(mutex_);
+        std::int64_t epoch = integerMember(body, "epoch");
+        if (checksFencing_ && epoch < greatestEpoch_)
+            return jsonResponse(409, R"({"error":{"message":"old fencing number"}})");
+        greatestEpoch_ = std::max(greatestEpoch_, epoch);
+        orders_.push_back(body);
+        std::string kind = stringMember(body, "kind");
+        std::string argument = stringMember(body, "argument");
+        if (kind == "set_role" && argument != role_) {
+            role_ = argument;
+            busyUntil_ = clock_.now() + roleChangePause;
+        } else if (kind == "drain")
+            isLeaving_ = true;
+        else if (kind == "resume") {
+            isLeaving_ = false;
+            ++incarnation_;
+        }
+        return jsonResponse(200, "{}");
+    }
+
+    HttpResponse state()
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return jsonResponse(200,
+            Json({{"orders", orders_}, {"last_headers", lastHeaders_}, {"last_body", lastBody_},
+                     {"role", role_}, {"running", running_.size()}})
+                .dump());
+    }
+
+    std::string name_;
+    double tokenRate_;
+    double prefillRate_;
+    std::int64_t piecesTotal_;
+    std::int64_t tokensPerPiece_;
+    Millis lag_;
+    bool checksFencing_;
+    SystemClock clock_;
+    Fault fault_;
+    std::mutex mutex_;
+    std::list<Generation> running_;
+    std::set<std::size_t> cache_;
+    std::int64_t piecesUsed_ = 0;
+    Instant prefillUntil_;
+    Instant busyUntil_;
+    Instant nextReport_;
+    Json report_ = Json::object();
+    std::string role_ = "mixed";
+    std::uint64_t incarnation_;
+    std::int64_t greatestEpoch_ = 0;
+    std::vector<Json> orders_;
+    Json lastHeaders_ = Json::object();
+    std::string lastBody_;
+    std::atomic<bool> isLeaving_{false};
+    std::atomic<bool> isStopping_{false};
+    std::thread thread_;
+};
+
+} // namespace
+} // namespace ragwortwinch::stand_in
+
+int main(int argc, char** argv)
+{
+    using namespace ragwortwinch::stand_in;
+    ProgramOptions options = readOptions(argc, argv,
+        {{"port", "0"}, {"name", "engine"}, {"token-rate", "100"}, {"prefill-rate", "8000"},
+            {"pieces", "2000"}, {"tokens-per-piece", "16"}, {"lag-ms", "300"}, {"checks-fencing", "false"}});
+    return serve(options, std::make_shared<Engine>(options));
+}
--- /dev/null
+++ b/testing/stand_in/fault.h
@@ -0,0 +1,74 @@
+// The fault that a stand-in shows, set through its control route.
+//
+//     POST /control/fault {"mode": "silent"}
+#pragma once
+
+#include "ragwortwinch/base/json.h"
+#include "ragwortwinch/base/name_table.h"
+#include "ragwortwinch/net/http_server.h"
+
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <unistd.h>
+#include <vector>
+
+namespace ragwortwinch::stand_in {
+
+enum class FaultMode {
+    None,
+    // Refuses all work.
+    Outage,
+    // Takes requests and never answers.
+    Silent,
+    // Does the work and never answers.
+    LostAnswer,
+    // Answers as if to another request.
+    WrongId,
+    // Ends the process.
+    Crash,
+};
+
+inline constexpr NameTable<FaultMode, 6> faultModeNames{{{
+    {FaultMode::None, "none"},
+    {FaultMode::Outage, "outage"},
+    {FaultMode::Silent, "silent"},
+    {FaultMode::LostAnswer, "lost_answer"},
+    {FaultMode::WrongId, "wrong_id"},
+    {FaultMode::Crash, "crash"},
+}}};
+
+// Thread-safe.
+class Fault {
+public:
+    FaultMode mode() const { return mode_.load(); }
+    bool is(FaultMode mode) const { return mode_.load() == mode; }
+    int delayMillis() const { return delayMillis_.load(); }
+
+    // Takes {"mode": ..., "delay_ms": ...}.
+    void set(const std::string& text)
+    {
+        Json body = parseJsonOrDiscard(text);
+        mode_.store(faultModeNames.parse(stringMember(body, "mode")).value_or(FaultMode::None));
+        delayMillis_.store(static_cast<int>(integerMember(body, "delay_ms")));
+        if (is(FaultMode::Crash))
+            _exit(1);
+        std::lock_guard<std::mutex> lock(mutex_);
+        if (is(FaultMode::None))
+            swallowed_.clear();
+    }
+    // Keeps the caller waiting for an answer that does not come.
+    void swallow(std::shared_ptr<HttpResponder> responder)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        swallowed_.push_back(std::move(responder));
+    }
+
+private:
+    std::atomic<FaultMode> mode_{FaultMode::None};
+    std::atomic<int> delayMillis_{0};
+    std::mutex mutex_;
+    std::vector<std::shared_ptr<HttpResponder>> swallowed_;
+};
+
+} // namespace ragwortwinch::stand_in
