--- /dev/null
+++ b/ragwortwinch/base/mechanism.cc
@@ -0,0 +1,22 @@
+#include "ragwortwinch/base/mechanism.h"
+
+namespace ragwortwinch {
+
+namespace internal {
+
+std::atomic<std::uint32_t> switchedOffMechanisms{0};
+
+} // namespace internal
+
+SwitchedOff::SwitchedOff(Mechanism mechanism)
+    : mechanism_(mechanism)
+{
+    internal::switchedOffMechanisms.fetch_or(1U << static_cast<int>(mechanism_));
+}
+
+SwitchedOff::~SwitchedOff()
+{
+    internal::switchedOffMechanisms.fetch_and(~(1U << static_cast<int>(mechanism_)));
+}
+
+} // namespace ragwortwinch
--- a/ragwortwinch/config/config_keeper.cc
+++ b/ragwortwinch/config/config_keeper.cc
@@ -3,6 +3,7 @@
 #include "ragwortwinch/base/digest.h"
 #include "ragwortwinch/base/invariant.h"
 #include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/base/mechanism.h"
 #include "ragwortwinch/config/rules_parser.h"
 
 #include <algorithm>
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr Millis peerAskInterval{300};
+// The longest that a write which was sent may stay under way.
+constexpr Millis settleTime{3000};
 
 } // namespace
 
@@ -21,8 +24,28 @@
 {
 }
 
+void ConfigKeeper::onPublishEnded(Instant now, bool isOutcomeKnown, std::uint64_t versionInForce)
+{
+    --publishing_;
+    newestKnown_ = std::max(newestKnown_, versionInForce);
+    if (isOutcomeKnown)
+        return;
+    inDoubtUntil_ = now + settleTime;
+    isDoubtSettled_ = false;
+}
+
+bool ConfigKeeper::maySayStoreIsDown(Instant now) const
+{
+    // A node that has not read the store since it started, or since a change of its own was in doubt, can't
+    // say that nothing was accepted through it.
+    bool isInDoubt = publishing_ > 0 || !isDoubtSettled_ || newestKnown_ > version();
+    return isStoreDown_ && !isInDoubt && now >= *inDoubtUntil_;
+}
+
 StoreOps ConfigKeeper::tick(Instant now)
 {
+    if (!inDoubtUntil_)
+        inDoubtUntil_ = now + settleTime;
     if (headOp_ != 0 || partOp_ != 0 || now < nextRead_)
         return {};
     bool isProvedByPeers = learnsFromPeers_ && version() > 0 && now - provedAt_ < readInterval_ * 2;
@@ -55,10 +78,13 @@
     std::optional<ConfigHead> head = parseConfigHead(answer.value);
     if (!head)
         return {};
+    newestKnown_ = std::max(newestKnown_, head->version);
+    if (inDoubtUntil_ && headSentAt_ >= *inDoubtUntil_)
+        isDoubtSettled_ = true;
     if (head->version == version())
         provedAt_ = std::max(provedAt_, headSentAt_);
     // An older head is an older read of the store: it proves nothing and changes nothing.
-    if (head->version <= version())
+    if (head->version == version() || !mayReplace(head->version))
         return {};
     loading_ = *head;
     loadedParts_.clear();
@@ -87,9 +113,14 @@
     return {};
 }
 
+bool ConfigKeeper::mayReplace(std::uint64_t next) const
+{
+    return next > version() || !isOn(Mechanism::ConfigGrows);
+}
+
 bool ConfigKeeper::adopt(const ConfigHead& head, std::string text)
 {
-    if (head.version <= version())
+    if (!mayReplace(head.version))
         return false;
     if (sha256Hex(text) != head.hash) {
         LogEvent("config.bad_body", Severity::Error).with("version", head.version).with("hash", head.hash);
@@ -156,7 +187,7 @@
 
 bool ConfigKeeper::doAllSayStoreIsDown(Instant now, const std::set<std::string>& vms) const
 {
-    if (!isStoreDown_)
+    if (!maySayStoreIsDown(now))
         return false;
     Millis bound = current_.rules->limits.freshnessBound;
     return std::all_of(vms.begin(), vms.end(), [&](const std::string& vm) {
@@ -171,7 +202,7 @@
     if (version() == 0)
         return false;
     const Limits& limits = current_.rules->limits;
-    if (now - provedAt_ <= limits.freshnessBound)
+    if (now - provedAt_ <= limits.freshnessBound || !isOn(Mechanism::ProofBound))
         return true;
     switch (limits.stalePolicy) {
     case StalePolicy::Serve:
--- a/ragwortwinch/config/config_keeper.h
+++ b/ragwortwinch/config/config_keeper.h
@@ -12,6 +12,8 @@
 // requests may run. Not thread-safe; holds no clock and no socket.
 #pragma once
 
+#include "ragwortwinch/base/mechanism.h"
+
 #include "ragwortwinch/config/config_head.h"
 #include "ragwortwinch/config/rules.h"
 #include "ragwortwinch/store/op_ids.h"
@@ -69,6 +71,13 @@
     // The last moment at which this version was known to be the newest.
     Instant provedAt() const { return provedAt_; }
     bool isStoreDown() const { return isStoreDown_; }
+    // What to tell peers: the store is down, and no change sent from here can still take effect.
+    bool maySayStoreIsDown(Instant now) const;
+    // Between the two a change of this node is under way. Without a known outcome it stays in doubt until the
+    // settle time has passed and the store has been read after it. `versionInForce` is what the end of it
+    // told, or 0.
+    void onPublishBegun() { ++publishing_; }
+    void onPublishEnded(Instant now, bool isOutcomeKnown, std::uint64_t versionInForce);
     // Whether keyed requests may run: the version is proved fresh, or the policy allows more. `vms` names all
     // other VMs of the last list.
     bool mayServeKeyed(Instant now, const std::set<std::string>& vms) const;
@@ -77,6 +86,7 @@
     StoreOps onHeadAnswer(Instant now, const StoreAnswer& answer);
     StoreOps onPartAnswer(Instant now, const StoreAnswer& answer);
     StoreOps readNextPart();
+    bool mayReplace(std::uint64_t next) const;
     bool adopt(const ConfigHead& head, std::string text);
     bool doAllSayStoreIsDown(Instant now, const std::set<std::string>& vms) const;
 
@@ -87,6 +97,13 @@
     bool hasNew_ = false;
     Instant provedAt_;
     bool isStoreDown_ = false;
+    int publishing_ = 0;
+    // Until when a change sent from here, or from a former process of this node, may still take effect.
+    std::optional<Instant> inDoubtUntil_;
+    // The store has been read since then.
+    bool isDoubtSettled_ = false;
+    // The greatest version that this node knows of, adopted or not.
+    std::uint64_t newestKnown_ = 0;
     Instant nextRead_;
     std::uint64_t headOp_ = 0;
     Instant headSentAt_;
--- a/ragwortwinch/config/config_publisher.cc
+++ b/ragwortwinch/config/config_publisher.cc
@@ -1,6 +1,7 @@
 #include "ragwortwinch/config/config_publisher.h"
 
 #include "ragwortwinch/base/digest.h"
+#include "ragwortwinch/base/mechanism.h"
 
 namespace ragwortwinch {
 
@@ -106,8 +107,12 @@
         versionInForce_ = next_.version;
         return end(PublishState::Accepted);
     }
-    if (answer.status == StoreStatus::Unavailable)
+    if (!isOn(Mechanism::ChangeId))
         return end(PublishState::NotAccepted);
+    // An earlier try whose answer was lost may still take effect, whatever this one says.
+    if (answer.status == StoreStatus::Unavailable)
+        return end(isWriteInDoubt_ ? PublishState::Unknown : PublishState::NotAccepted);
+    isWriteInDoubt_ = isWriteInDoubt_ || answer.status == StoreStatus::Unknown;
     return readHead(Step::ReadBack);
 }
 
@@ -122,8 +127,9 @@
     versionInForce_ = head ? head->version : 0;
     if (head && head->hasChange(next_.changeId))
         return end(PublishState::Accepted);
-    if (answer.revision == headRevision_) {
-        // The lost write may still arrive; repeating it settles which, since only one can take effect.
+    if (answer.revision <= headRevision_) {
+        // Nothing has changed, or this is an older read. The lost write may still arrive; repeating it
+        // settles which, since only one can take effect.
         if (++tries_ < maxTries)
             return writeHead();
         return end(PublishState::Unknown);
--- a/ragwortwinch/config/config_publisher.h
+++ b/ragwortwinch/config/config_publisher.h
@@ -64,6 +64,8 @@
     std::uint64_t versionInForce_ = 0;
     std::size_t part_ = 0;
     int tries_ = 0;
+    // A write of the head was sent and its answer was lost.
+    bool isWriteInDoubt_ = false;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/dispatch/answer_assembler.cc
+++ b/ragwortwinch/dispatch/answer_assembler.cc
@@ -2,6 +2,7 @@
 
 #include "ragwortwinch/base/invariant.h"
 #include "ragwortwinch/base/json.h"
+#include "ragwortwinch/base/mechanism.h"
 
 namespace ragwortwinch {
 
@@ -25,15 +26,17 @@
     checkInvariant(!isFinished_, "answer.nothing_after_the_end");
     if (event.data == terminalMarker) {
         // The marker names the offset after the last token, so a marker that overtook tokens is seen.
-        if (event.id >= 0 && event.id != nextOffset_)
+        if (event.id >= 0 && event.id != nextOffset_ && isOn(Mechanism::TerminalMarker))
             return EventVerdict::Gap;
         isFinished_ = true;
         return EventVerdict::Finished;
     }
-    if (event.id < 0 || event.id > nextOffset_)
-        return EventVerdict::Gap;
-    if (event.id < nextOffset_)
-        return EventVerdict::Duplicate;
+    if (isOn(Mechanism::TokenOffsets)) {
+        if (event.id < 0 || event.id > nextOffset_)
+            return EventVerdict::Gap;
+        if (event.id < nextOffset_)
+            return EventVerdict::Duplicate;
+    }
     events_.emplace_back(event.data);
     ++nextOffset_;
     return EventVerdict::Forward;
--- a/ragwortwinch/dispatch/claim_protocol.cc
+++ b/ragwortwinch/dispatch/claim_protocol.cc
@@ -3,6 +3,7 @@
 #include "ragwortwinch/base/digest.h"
 #include "ragwortwinch/base/invariant.h"
 #include "ragwortwinch/base/json.h"
+#include "ragwortwinch/base/mechanism.h"
 
 namespace ragwortwinch {
 
@@ -56,6 +57,9 @@
     pendingOp_ = 0;
     switch (step_) {
     case Step::Claiming:
+        if (!isOn(Mechanism::ClaimFirst)
+            || (answer.status == StoreStatus::Unknown && !isOn(Mechanism::ClaimReadBack)))
+            return end(ClaimVerdict::Proceed);
         if (answer.isOk()) {
             revision_ = answer.revision;
             return end(ClaimVerdict::Proceed);
--- a/ragwortwinch/dispatch/run_state.cc
+++ b/ragwortwinch/dispatch/run_state.cc
@@ -1,6 +1,7 @@
 #include "ragwortwinch/dispatch/run_state.h"
 
 #include "ragwortwinch/base/json.h"
+#include "ragwortwinch/base/mechanism.h"
 
 namespace ragwortwinch {
 
@@ -23,7 +24,7 @@
         state_ = RunState::Ran;
         return;
     }
-    bool hasNotRun = !result.mayHaveBeenSent || isDefinitiveRefusal(result);
+    bool hasNotRun = !result.mayHaveBeenSent || isDefinitiveRefusal(result) || !isOn(Mechanism::RunTracking);
     if (!hasNotRun && state_ == RunState::NotRun)
         state_ = RunState::OutcomeUnknown;
 }
--- a/ragwortwinch/fleet/order_journal.cc
+++ b/ragwortwinch/fleet/order_journal.cc
@@ -3,38 +3,47 @@
 #include "ragwortwinch/base/invariant.h"
 #include "ragwortwinch/base/json.h"
 #include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/base/mechanism.h"
 
 #include <algorithm>
 
 namespace ragwortwinch {
 
-OrderJournal::OrderJournal(std::string zone, std::string writer, OpIds& ids, Millis resendInterval)
+OrderJournal::OrderJournal(
+    std::string zone, std::string writer, OpIds& ids, Millis sendBound, Millis resendInterval)
     : zone_(std::move(zone))
     , writer_(std::move(writer))
     , ids_(ids)
+    , sendBound_(sendBound)
     , resendInterval_(resendInterval)
 {
 }
 
+bool OrderJournal::isUnfinished(const std::string& endpoint) const
+{
+    auto known = orders_.find(endpoint);
+    return known != orders_.end() && !known->second.isDone;
+}
+
 SubmitResult OrderJournal::submit(EndpointOrder order)
 {
     if (phase_ == Phase::WithoutAuthority || phase_ == Phase::Reading)
         return SubmitResult::NoAuthority;
-    auto known = orders_.find(order.endpoint);
-    bool isUnfinished = known != orders_.end() && !known->second.isDone;
     bool isStaged = std::any_of(staged_.begin(), staged_.end(),
         [&](const EndpointOrder& other) { return other.endpoint == order.endpoint; });
-    if (isUnfinished || isStaged)
+    if (isUnfinished(order.endpoint) || isStaged)
         return SubmitResult::Busy;
     staged_.push_back(std::move(order));
     return SubmitResult::Accepted;
 }
 
-bool OrderJournal::isSettled() const
+bool OrderJournal::isSettled(Instant now) const
 {
     bool isAnyUnfinished
         = std::any_of(orders_.begin(), orders_.end(), [](const auto& entry) { return !entry.second.isDone; });
-    return staged_.empty() && !needsWrite_ && pendingOp_ == 0 && !isAnyUnfinished;
+    bool isAnyUnderWay = std::any_of(stragglers_.begin(), stragglers_.end(),
+        [now](const auto& entry) { return now < entry.second.overAt; });
+    return staged_.empty() && !needsWrite_ && pendingOp_ == 0 && !isAnyUnfinished && !isAnyUnderWay;
 }
 
 StoreOps OrderJournal::tick(Instant now, const Authority& authority)
@@ -46,13 +55,16 @@
         pendingOp_ = 0;
         nextTry_ = now;
         nextSend_.clear();
+        stragglers_.clear();
         staged_.clear();
     }
     if (pendingOp_ != 0 || now < nextTry_)
         return {};
     if (phase_ == Phase::Reading || phase_ == Phase::Doubtful)
         return read(now);
-    if (phase_ == Phase::Ready && (needsWrite_ || !staged_.empty()))
+    bool hasNew = std::any_of(staged_.begin(), staged_.end(),
+        [this](const EndpointOrder& order) { return !isUnfinished(order.endpoint); });
+    if (phase_ == Phase::Ready && (needsWrite_ || hasNew))
         return write(now);
     return {};
 }
@@ -65,13 +77,22 @@
 
 StoreOps OrderJournal::write(Instant)
 {
+    // An order that was queued before an older read of the journal turned out to be one waits for what that
+    // hid.
+    std::vector<EndpointOrder> waiting;
     for (EndpointOrder& order : staged_) {
+        if (isUnfinished(order.endpoint)) {
+            waiting.push_back(std::move(order));
+            continue;
+        }
         order.number = ++lastNumber_;
         order.epoch = epoch_;
         orders_[order.endpoint] = std::move(order);
     }
-    staged_.clear();
+    staged_ = std::move(waiting);
     needsWrite_ = false;
+    if (!isOn(Mechanism::JournalFirst))
+        adoptAll();
     phase_ = Phase::Writing;
     pendingOp_ = ids_.next();
     return {StoreOp::put(pendingOp_, key(), serialize(), revision_)};
@@ -153,6 +174,8 @@
     for (auto& entry : orders_) {
         if (!entry.second.isDone)
             entry.second.epoch = epoch_;
+        if (!isOn(Mechanism::JournalAdoption))
+            entry.second.isDone = true;
     }
     phase_ = Phase::Ready;
     needsWrite_ = true;
@@ -209,29 +232,42 @@
         bool isFenced = !order.isToPlatform() && checksFencing(order.endpoint);
         if (!isFenced && !authority.isQuietPeriodOver)
             continue;
+        auto straggler = stragglers_.find(order.endpoint);
+        bool mayBeOvertaken = straggler != stragglers_.end() && straggler->second.number != order.number
+            && now < straggler->second.overAt;
+        if (mayBeOvertaken && isOn(Mechanism::StragglerWait))
+            continue;
         checkInvariant(order.epoch == authority.epoch, "orders.sent_under_own_epoch");
-        due->second = now + resendInterval_;
+        due->second = Instant::max();
         sends.push_back(order);
     }
     return sends;
 }
 
-void OrderJournal::onSendResult(std::uint64_t number, SendOutcome outcome)
+void OrderJournal::onSendResult(Instant now, std::uint64_t number, SendOutcome outcome)
 {
+    auto due = nextSend_.find(number);
     for (auto& entry : orders_) {
         EndpointOrder& order = entry.second;
-        if (order.number != number || outcome == SendOutcome::Unknown)
+        if (order.number != number)
             continue;
+        if (outcome == SendOutcome::Unknown) {
+            stragglers_[order.endpoint] = {number, now + sendBound_};
+            if (due != nextSend_.end())
+                due->second = now + resendInterval_;
+            return;
+        }
         LogEvent("orders.result")
             .with("zone", zone_)
             .with("endpoint", order.endpoint)
             .with("number", number)
             .with("outcome", sendOutcomeNames.name(outcome));
-        if (!nextSend_.contains(number))
+        if (due == nextSend_.end())
             return;
         order.isDone = true;
         needsWrite_ = true;
-        nextSend_.erase(number);
+        nextSend_.erase(due);
+        return;
     }
 }
 
--- a/ragwortwinch/fleet/order_journal.h
+++ b/ragwortwinch/fleet/order_journal.h
@@ -4,11 +4,11 @@
 //     journal.submit({"brew-1", OrderKind::SetRole, "prefill"});
 //     run(journal.tick(now, authority));                // store operations
 //     for (EndpointOrder& order : journal.takeSends(now, authority, checksFencing)) send(order);
-//     journal.onSendResult(order.number, SendOutcome::Applied);
+//     journal.onSendResult(now, order.number, SendOutcome::Applied);
 //
-// An endpoint has at most one order that is not done; a different one is refused until then. Each write
-// compares the journal's revision, so a former holder's write fails once the next has written. Not
-// thread-safe.
+// An endpoint has at most one order that is not done; a different one is refused until then, and is not sent
+// while a copy of the former one whose answer was lost may still be under way. Each write compares the
+// journal's revision, so a former holder's write fails once the next has written. Not thread-safe.
 #pragma once
 
 #include "ragwortwinch/base/time.h"
@@ -40,21 +40,23 @@
 
 class OrderJournal {
 public:
-    // `ids` outlives the journal.
-    OrderJournal(std::string zone, std::string writer, OpIds& ids, Millis resendInterval = Millis(500));
+    // `ids` outlives the journal. `sendBound` is the longest that one send may be under way.
+    OrderJournal(std::string zone, std::string writer, OpIds& ids, Millis sendBound,
+        Millis resendInterval = Millis(500));
 
     // Queues an order. It is sent once it is in the store.
     SubmitResult submit(EndpointOrder order);
     StoreOps tick(Instant now, const Authority& authority);
     StoreOps onAnswer(Instant now, const StoreAnswer& answer);
-    // Returns the journaled orders that are due to be sent now; each is due again after the resend interval.
+    // Returns the journaled orders that are due to be sent now. Each has to be followed by `onSendResult`;
+    // after an unknown outcome it is due again.
     std::vector<EndpointOrder> takeSends(Instant now, const Authority& authority,
         const std::function<bool(const std::string& endpoint)>& checksFencing);
-    void onSendResult(std::uint64_t number, SendOutcome outcome);
+    void onSendResult(Instant now, std::uint64_t number, SendOutcome outcome);
 
     const std::map<std::string, EndpointOrder>& orders() const { return orders_; }
-    // True when nothing is queued, unwritten or unfinished.
-    bool isSettled() const;
+    // True when nothing is queued, unwritten, unfinished or possibly still under way.
+    bool isSettled(Instant now) const;
 
 private:
     enum class Phase {
@@ -67,6 +69,7 @@
     };
 
     std::string key() const { return "orders/" + zone_; }
+    bool isUnfinished(const std::string& endpoint) const;
     StoreOps read(Instant now);
     StoreOps write(Instant now);
     void load(const std::string& text);
@@ -78,6 +81,7 @@
     std::string zone_;
     std::string writer_;
     OpIds& ids_;
+    Millis sendBound_;
     Millis resendInterval_;
 
     Phase phase_ = Phase::WithoutAuthority;
@@ -91,8 +95,15 @@
     bool needsWrite_ = false;
     std::map<std::string, EndpointOrder> orders_;
     std::vector<EndpointOrder> staged_;
-    // Numbers that the store holds under the present epoch: only these may be sent.
+    // Numbers that the store holds under the present epoch: only these may be sent. Instant::max() marks one
+    // that is being sent.
     std::map<std::uint64_t, Instant> nextSend_;
+    // Of each endpoint, the latest send with an unknown outcome.
+    struct Straggler {
+        std::uint64_t number = 0;
+        Instant overAt;
+    };
+    std::map<std::string, Straggler> stragglers_;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/lease/lease_keeper.cc
+++ b/ragwortwinch/lease/lease_keeper.cc
@@ -3,6 +3,7 @@
 #include "ragwortwinch/base/invariant.h"
 #include "ragwortwinch/base/json.h"
 #include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/base/mechanism.h"
 
 #include <utility>
 
@@ -134,6 +135,11 @@
     backOff(now);
 }
 
+Instant LeaseKeeper::authorityFrom(Instant now) const
+{
+    return (isOn(Mechanism::LeaseFromSend) ? pendingSentAt_ : now) + options_.ttl - options_.margin;
+}
+
 void LeaseKeeper::become(Instant now, std::uint64_t revision, bool needsQuiet)
 {
     checkInvariant(revision > lastEpoch_, "lease.epoch_grows");
@@ -141,8 +147,8 @@
     lastEpoch_ = revision;
     holder_ = node_;
     state_ = LeaseState::Held;
-    authorityEnd_ = pendingSentAt_ + options_.ttl - options_.margin;
-    quietUntil_ = needsQuiet ? now + options_.quietPeriod() : now;
+    authorityEnd_ = authorityFrom(now);
+    quietUntil_ = needsQuiet && isOn(Mechanism::QuietPeriod) ? now + options_.quietPeriod() : now;
     nextRenewal_ = pendingSentAt_ + options_.renewInterval();
     if (now >= authorityEnd_) {
         lose(now, "answer_too_late");
@@ -158,8 +164,7 @@
         return;
     }
     if (answer.isOk()) {
-        Instant end = pendingSentAt_ + options_.ttl - options_.margin;
-        authorityEnd_ = std::max(authorityEnd_, end);
+        authorityEnd_ = std::max(authorityEnd_, authorityFrom(now));
         nextRenewal_ = pendingSentAt_ + options_.renewInterval();
         return;
     }
--- a/ragwortwinch/lease/lease_keeper.h
+++ b/ragwortwinch/lease/lease_keeper.h
@@ -10,6 +10,8 @@
 // acquisition. Not thread-safe; holds no clock and no socket.
 #pragma once
 
+#include "ragwortwinch/base/mechanism.h"
+
 #include "ragwortwinch/base/name_table.h"
 #include "ragwortwinch/lease/lease_options.h"
 #include "ragwortwinch/store/op_ids.h"
@@ -66,6 +68,8 @@
 private:
     std::string key() const { return "lease/" + duty_; }
     std::string makeValue();
+    // When the authority given by the answer to the pending operation ends.
+    Instant authorityFrom(Instant now) const;
     void lose(Instant now, const char* reason);
     void become(Instant now, std::uint64_t revision, bool needsQuiet);
     StoreOps read(Instant now);
--- a/ragwortwinch/membership/vm_table.cc
+++ b/ragwortwinch/membership/vm_table.cc
@@ -1,5 +1,7 @@
 #include "ragwortwinch/membership/vm_table.h"
 
+#include "ragwortwinch/base/mechanism.h"
+
 namespace ragwortwinch {
 
 VmTable::VmTable(std::string self, Millis silenceBound)
@@ -12,7 +14,8 @@
 {
     if (news.incarnation < known.incarnation)
         return false;
-    bool staysLeaving = known.isLeaving && news.incarnation == known.incarnation;
+    bool isSameIncarnation = news.incarnation == known.incarnation;
+    bool staysLeaving = known.isLeaving && isSameIncarnation && isOn(Mechanism::LeavingWins);
     known = news;
     known.isLeaving = known.isLeaving || staysLeaving;
     return true;
--- a/ragwortwinch/node/duties.cc
+++ b/ragwortwinch/node/duties.cc
@@ -38,7 +38,7 @@
             continue;
         zones_[zone] = std::make_unique<ZoneDuty>(
             ZoneDuty{LeaseKeeper("fleet/" + zone, settings_.node, incarnation_, ids_, leaseOptions()),
-                OrderJournal(zone, settings_.node + "." + incarnation_, ids_)});
+                OrderJournal(zone, settings_.node + "." + incarnation_, ids_, settings_.sendBound)});
     }
 }
 
@@ -108,11 +108,13 @@
             LogEvent("orders.no_endpoint", Severity::Warning)
                 .with("zone", zone)
                 .with("endpoint", order.endpoint);
-            duty.journal.onSendResult(order.number, SendOutcome::Refused);
+            duty.journal.onSendResult(now, order.number, SendOutcome::Refused);
             continue;
         }
         sender_.post(std::move(send), [this, &duty, number = order.number](SendOutcome outcome) {
-            asio::post(context_, [&duty, number, outcome] { duty.journal.onSendResult(number, outcome); });
+            asio::post(context_, [&duty, number, outcome] {
+                duty.journal.onSendResult(SystemClock().now(), number, outcome);
+            });
         });
     }
 }
@@ -141,7 +143,7 @@
 {
     for (auto& entry : zones_) {
         ZoneDuty& duty = *entry.second;
-        tickLease(duty.lease, now, candidates, duty.journal.isSettled());
+        tickLease(duty.lease, now, candidates, duty.journal.isSettled(now));
         runner_.run(duty.journal.tick(now, authorityOf(duty.lease, now)),
             [&duty](Instant at, const StoreAnswer& answer) { return duty.journal.onAnswer(at, answer); });
         sendOrders(entry.first, duty, now);
--- a/ragwortwinch/node/node.cc
+++ b/ragwortwinch/node/node.cc
@@ -29,6 +29,22 @@
     return parseSocketAddress(stringMember(object, name)).value_or(SocketAddress{});
 }
 
+ApplyOutcome toApplyOutcome(const ConfigPublisher& publisher)
+{
+    switch (publisher.state()) {
+    case PublishState::Accepted:
+        return {ApplyOutcome::Kind::Accepted, publisher.versionInForce()};
+    case PublishState::Conflict:
+        return {ApplyOutcome::Kind::Conflict, publisher.versionInForce()};
+    case PublishState::NotAccepted:
+        return {ApplyOutcome::Kind::NotAccepted, 0};
+    case PublishState::Running:
+    case PublishState::Unknown:
+        break;
+    }
+    return {ApplyOutcome::Kind::Unknown, 0};
+}
+
 } // namespace
 
 Node::Node(Settings settings)
@@ -267,7 +283,7 @@
     digest.echo = last == lastSequence_.end() ? 0 : last->second;
     digest.configVersion = config_.version();
     digest.proofAgeMillis = (now - config_.provedAt()).count();
-    digest.isStoreDown = config_.isStoreDown();
+    digest.isStoreDown = config_.maySayStoreIsDown(now);
     for (const EndpointPointer& endpoint : endpoints_.all()) {
         if (endpoint->isLeaving())
             digest.leavingEndpoints[endpoint->name()] = endpoint->incarnation();
@@ -450,24 +466,14 @@
             onDone = std::move(onDone)]() mutable {
             auto publisher = std::make_shared<ConfigPublisher>(
                 std::move(text), expectedVersion, std::move(changeId), opIds_);
+            config_.onPublishBegun();
             runner_.run(publisher->start(),
-                [publisher, onDone = std::move(onDone)](Instant now, const StoreAnswer& answer) {
+                [this, publisher, onDone = std::move(onDone)](Instant now, const StoreAnswer& answer) {
                     StoreOps next = publisher->onAnswer(now, answer);
-                    switch (publisher->state()) {
-                    case PublishState::Running:
-                        break;
-                    case PublishState::Accepted:
-                        onDone({ApplyOutcome::Kind::Accepted, publisher->versionInForce()});
-                        break;
-                    case PublishState::Conflict:
-                        onDone({ApplyOutcome::Kind::Conflict, publisher->versionInForce()});
-                        break;
-                    case PublishState::NotAccepted:
-                        onDone({ApplyOutcome::Kind::NotAccepted, 0});
-                        break;
-                    case PublishState::Unknown:
-                        onDone({ApplyOutcome::Kind::Unknown, 0});
-                        break;
+                    if (publisher->state() != PublishState::Running) {
+                        config_.onPublishEnded(
+                            now, publisher->state() != PublishState::Unknown, publisher->versionInForce());
+                        onDone(toApplyOutcome(*publisher));
                     }
                     return next;
                 });
--- a/ragwortwinch/routing/endpoint_state.cc
+++ b/ragwortwinch/routing/endpoint_state.cc
@@ -1,6 +1,7 @@
 #include "ragwortwinch/routing/endpoint_state.h"
 
 #include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/base/mechanism.h"
 
 #include <algorithm>
 #include <utility>
@@ -23,7 +24,7 @@
     std::uint64_t known = incarnation_.exchange(report.incarnation);
     if (report.isLeaving)
         isLeaving_.store(true);
-    else if (report.incarnation > known)
+    else if (report.incarnation > known || !isOn(Mechanism::LeavingWins))
         isLeaving_.store(false);
     reportedAt_.store(now.time_since_epoch().count());
 }
--- a/ragwortwinch/usage/usage_flusher.cc
+++ b/ragwortwinch/usage/usage_flusher.cc
@@ -1,5 +1,7 @@
 #include "ragwortwinch/usage/usage_flusher.h"
 
+#include "ragwortwinch/base/mechanism.h"
+
 namespace ragwortwinch {
 
 UsageFlusher::UsageFlusher(
@@ -25,7 +27,10 @@
     sent_ = totals;
     nextWrite_ = now + interval_;
     pendingOp_ = ids_.next();
-    return {StoreOp::put(pendingOp_, key_, toJson(sent_).dump(), revision_, retention_)};
+    StoreOp op = StoreOp::put(pendingOp_, key_, toJson(sent_).dump(), revision_, retention_);
+    if (!isOn(Mechanism::UsageCompare))
+        op.expectedRevision.reset();
+    return {std::move(op)};
 }
 
 StoreOps UsageFlusher::onAnswer(Instant now, const StoreAnswer& answer)
--- a/ragwortwinch/usage/window_closer.cc
+++ b/ragwortwinch/usage/window_closer.cc
@@ -2,6 +2,7 @@
 
 #include "ragwortwinch/base/invariant.h"
 #include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/base/mechanism.h"
 #include "ragwortwinch/usage/usage_flusher.h"
 
 namespace ragwortwinch {
@@ -30,7 +31,8 @@
 StoreOps WindowCloser::tick(Instant now, std::int64_t unixMillis, const Authority& authority)
 {
     unixMillis_ = unixMillis;
-    if (authority.epoch != epoch_) {
+    bool isLost = authority.epoch == 0 && isOn(Mechanism::ReportUnderAuthority);
+    if (authority.epoch != epoch_ && (authority.epoch != 0 || isLost)) {
         epoch_ = authority.epoch;
         step_ = epoch_ ? Step::ReadMark : Step::WithoutAuthority;
         pendingOp_ = 0;
@@ -127,6 +129,10 @@
         .with("shard", shard_)
         .with("window", frozen_.window)
         .with("teams", frozen_.figures.size());
+    if (!isOn(Mechanism::FreezeFirst)) {
+        beginReport(std::move(frozen_));
+        return {};
+    }
     return ask(StoreOp::put(ids_.next(), closedKey(frozen_.window), frozen_.toJson(), 0), Step::Freeze);
 }
 
@@ -138,8 +144,8 @@
 
 std::optional<ClosedWindow> WindowCloser::takeReport(Instant now, const Authority& authority)
 {
-    bool mayReport = step_ == Step::Report && authority.epoch != 0 && authority.epoch == epoch_
-        && authority.isQuietPeriodOver;
+    bool hasAuthority = authority.epoch != 0 && authority.epoch == epoch_ && authority.isQuietPeriodOver;
+    bool mayReport = step_ == Step::Report && (hasAuthority || !isOn(Mechanism::ReportUnderAuthority));
     if (!mayReport || now < nextReport_)
         return std::nullopt;
     nextReport_ = now + options_.retryInterval;
--- /dev/null
+++ b/testing/protocol/outside_world.h
@@ -0,0 +1,63 @@
+// What the nodes act on, and the judge of it: endpoints, the platform's intakes, plain services, and what
+// operators and callers were told. Every breach of a promise is noted in words.
+#pragma once
+
+#include "ragwortwinch/config/config_head.h"
+#include "ragwortwinch/config/config_publisher.h"
+#include "ragwortwinch/dispatch/run_state.h"
+#include "ragwortwinch/fleet/endpoint_order.h"
+#include "ragwortwinch/store/store_op.h"
+#include "ragwortwinch/usage/usage_figures.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace ragwortwinch::protocol {
+
+class OutsideWorld {
+public:
+    // Names of endpoints: one checks fencing numbers, one ignores them, and the platform's ordering
+    // interface.
+    static constexpr const char* checkingEndpoint = "checking";
+    static constexpr const char* ignoringEndpoint = "ignoring";
+
+    void onStoreWrite(const StoreOp& op, Instant now);
+    SendOutcome receiveOrder(const EndpointOrder& order);
+    SendOutcome receiveReport(WindowId window, const std::string& body, std::uint64_t epoch);
+    void receiveBooking(const std::string& booking, const std::string& attempt);
+    void onCallerTold(const std::string& attempt, RunState told);
+    void onOperatorTold(const std::string& changeId, PublishState told);
+    // A node serves keyed requests at `now` with this version; each older one ended `allowed` after its
+    // successor.
+    void onServedKeyed(std::uint64_t version, Instant now, Millis allowed);
+
+    void judgeEnd(
+        const std::vector<std::uint64_t>& versions, std::int64_t countedLeast, std::int64_t countedMost);
+    void breach(const std::string& text) { breaches_.push_back(text); }
+    const std::vector<std::string>& breaches() const { return breaches_; }
+    std::uint64_t newestVersion() const { return newest_.version; }
+
+private:
+    struct Receiver {
+        std::uint64_t greatestEpoch = 0;
+        EndpointOrder latest;
+    };
+
+    std::map<std::string, Receiver> receivers_;
+    std::map<std::uint64_t, std::string> journaled_;
+    std::set<std::uint64_t> received_;
+    std::map<WindowId, std::string> reports_;
+    std::uint64_t reportEpoch_ = 0;
+    std::map<std::string, int> runsOfBooking_;
+    std::set<std::string> attemptsThatRan_;
+    std::vector<std::string> toldNotRun_;
+    std::map<std::string, PublishState> told_;
+    ConfigHead newest_;
+    std::set<std::string> acceptedChanges_;
+    std::map<std::uint64_t, Instant> acceptedAt_;
+    std::vector<std::string> breaches_;
+};
+
+} // namespace ragwortwinch::protocol
--- /dev/null
+++ b/testing/protocol/protocol_run.cc
@@ -0,0 +1,236 @@
+#include "testing/protocol/protocol_run.h"
+
+#include "testing/protocol/virtual_node.h"
+
+#include <fmt/format.h>
+#include <memory>
+#include <stdexcept>
+
+namespace ragwortwinch::protocol {
+
+namespace {
+
+constexpr int nodeCount = 3;
+constexpr Millis tickInterval{50};
+constexpr Millis faultyTime{20000};
+// Long enough for leases, quiet periods and windows to settle after the last fault.
+constexpr Millis healedTime{30000};
+
+class Run {
+public:
+    explicit Run(std::uint64_t seed)
+        : random_(seed)
+        , store_(time_, random_)
+    {
+        store_.setObserver(
+            [this](const StoreOp& op, std::uint64_t) { world_.onStoreWrite(op, time_.now()); });
+        for (int index = 0; index < nodeCount; ++index)
+            nodes_.push_back(
+                std::make_unique<VirtualNode>(fmt::format("n{}", index), time_, store_, world_, random_));
+    }
+
+    std::vector<std::string> go()
+    {
+        Instant end = time_.now() + faultyTime;
+        isFaulty_ = true;
+        scheduleTick();
+        scheduleAction();
+        runGuarded(end);
+        heal();
+        runGuarded(time_.now() + healedTime);
+        judge();
+        return world_.breaches();
+    }
+
+private:
+    void runGuarded(Instant end)
+    {
+        try {
+            time_.runUntil(end);
+        } catch (const std::logic_error& broken) {
+            world_.breach(broken.what());
+        }
+    }
+
+    void scheduleTick()
+    {
+        time_.after(tickInterval, [this] {
+            for (const std::unique_ptr<VirtualNode>& node : nodes_)
+                node->tick();
+            checkBeliefs();
+            gossip();
+            checkServing();
+            scheduleTick();
+        });
+    }
+
+    void scheduleAction()
+    {
+        if (!isFaulty_)
+            return;
+        time_.after(delay(10, 150), [this] {
+            if (isFaulty_)
+                act();
+            scheduleAction();
+        });
+    }
+
+    VirtualNode& any()
+    {
+        return *nodes_[std::uniform_int_distribution<std::size_t>(0, nodes_.size() - 1)(random_)];
+    }
+    Millis delay(std::int64_t least, std::int64_t most)
+    {
+        return Millis(std::uniform_int_distribution<std::int64_t>(least, most)(random_));
+    }
+
+    void act()
+    {
+        int choice = std::uniform_int_distribution<int>(0, 99)(random_);
+        if (choice < 30)
+            order();
+        else if (choice < 50)
+            work();
+        else if (choice < 68)
+            book();
+        else if (choice < 80)
+            publish();
+        else if (choice < 88)
+            any().pause(delay(100, 4000));
+        else if (choice < 92)
+            any().crash(delay(50, 2000));
+        else if (choice < 97)
+            cutOff();
+        else
+            outage();
+    }
+
+    void order()
+    {
+        EndpointOrder order;
+        int target = std::uniform_int_distribution<int>(0, 2)(random_);
+        order.endpoint = target == 0 ? OutsideWorld::checkingEndpoint
+            : target == 1            ? OutsideWorld::ignoringEndpoint
+                                     : "platform";
+        order.kind = target == 2 ? OrderKind::Provision : OrderKind::SetRole;
+        order.argument = std::to_string(++lastArgument_);
+        for (const std::unique_ptr<VirtualNode>& node : nodes_)
+            node->submitOrder(order);
+    }
+
+    void work()
+    {
+        VirtualNode& node = any();
+        if (!node.isRunning())
+            return;
+        node.count(1);
+        ++counted_;
+    }
+
+    void book()
+    {
+        std::string booking = fmt::format("b{}", ++lastBooking_);
+        any().book(booking, fmt::format("a{}", ++lastAttempt_));
+        int repeats = std::uniform_int_distribution<int>(0, 3)(random_);
+        for (int index = 0; index < repeats; ++index)
+            time_.after(
+                delay(0, 3000), [this, booking] { any().book(booking, fmt::format("a{}", ++lastAttempt_)); });
+    }
+
+    void publish()
+    {
+        any().publish(fmt::format("c{}", ++lastChange_));
+        if (std::uniform_int_distribution<int>(0, 2)(random_) == 0)
+            any().publish(fmt::format("c{}", ++lastChange_));
+    }
+
+    void cutOff()
+    {
+        VirtualNode& node = any();
+        node.setCutOff(true);
+        time_.after(delay(100, 4000), [&node] { node.setCutOff(false); });
+    }
+
+    void outage()
+    {
+        store_.setOutage(true);
+        time_.after(delay(100, 5000), [this] { store_.setOutage(false); });
+    }
+
+    // Heartbeats with their echoes, late and lost.
+    void gossip()
+    {
+        for (const std::unique_ptr<VirtualNode>& from : nodes_) {
+            for (const std::unique_ptr<VirtualNode>& to : nodes_) {
+                bool isLost = isFaulty_ && std::uniform_int_distribution<int>(0, 9)(random_) == 0;
+                if (from == to || isLost || !from->isRunning() || !to->isRunning())
+                    continue;
+                // `to` sent the heartbeat that `from` echoes a moment ago.
+                PeerStatement said = from->statement(time_.now() - delay(1, 30));
+                time_.after(delay(1, 30), [&to = *to, said] { to.hear(said); });
+            }
+        }
+    }
+
+    void checkBeliefs()
+    {
+        int fleet = 0;
+        int usage = 0;
+        for (const std::unique_ptr<VirtualNode>& node : nodes_) {
+            fleet += node->believesInFleet() ? 1 : 0;
+            usage += node->believesInUsage() ? 1 : 0;
+        }
+        if (fleet > 1 || usage > 1)
+            world_.breach("two processes believe that they are in charge");
+    }
+
+    void checkServing()
+    {
+        for (const std::unique_ptr<VirtualNode>& node : nodes_) {
+            std::set<std::string> others;
+            for (const std::unique_ptr<VirtualNode>& other : nodes_) {
+                if (other != node)
+                    others.insert(other->name());
+            }
+            node->checkServing(others);
+        }
+    }
+
+    void heal()
+    {
+        isFaulty_ = false;
+        store_.setOutage(false);
+        store_.setFaults({0, 0, 0, 0});
+        for (const std::unique_ptr<VirtualNode>& node : nodes_)
+            node->setCutOff(false);
+    }
+
+    void judge()
+    {
+        std::vector<std::uint64_t> versions;
+        std::int64_t lost = 0;
+        for (const std::unique_ptr<VirtualNode>& node : nodes_) {
+            versions.push_back(node->version());
+            lost += node->lostAtMost();
+        }
+        world_.judgeEnd(versions, counted_ - lost, counted_);
+    }
+
+    VirtualTime time_;
+    std::mt19937_64 random_;
+    VirtualStore store_;
+    OutsideWorld world_;
+    std::vector<std::unique_ptr<VirtualNode>> nodes_;
+    bool isFaulty_ = false;
+    std::int64_t counted_ = 0;
+    int lastArgument_ = 0;
+    int lastBooking_ = 0;
+    int lastAttempt_ = 0;
+    int lastChange_ = 0;
+};
+
+} // namespace
+
+std::vector<std::string> runProtocols(std::uint64_t seed) { return Run(seed).go(); }
+
+} // namespace ragwortwinch::protocol
--- /dev/null
+++ b/testing/protocol/protocol_run_main.cc
@@ -0,0 +1,86 @@
+// Runs many schedules, or one.
+//
+//     protocol_run --from 1 --count 1000000 --jobs 6       # stops at the first breach and prints how to
+//     replay it protocol_run --from 4711 --count 1 protocol_run --off quiet_period --count 1000          #
+//     exits 0 when the breach is found
+#include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/base/mechanism.h"
+#include "testing/protocol/protocol_run.h"
+
+#include <atomic>
+#include <boost/program_options.hpp>
+#include <glog/logging.h>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+namespace {
+
+namespace options = boost::program_options;
+
+struct Search {
+    std::atomic<std::uint64_t> next;
+    std::uint64_t end = 0;
+    std::atomic<bool> isFound{false};
+    std::mutex output;
+};
+
+void work(Search& search)
+{
+    while (!search.isFound.load()) {
+        std::uint64_t seed = search.next.fetch_add(1);
+        if (seed >= search.end)
+            return;
+        std::vector<std::string> breaches = ragwortwinch::protocol::runProtocols(seed);
+        if (breaches.empty())
+            continue;
+        search.isFound.store(true);
+        std::lock_guard<std::mutex> lock(search.output);
+        for (const std::string& breach : breaches)
+            std::cout << "seed " << seed << ": " << breach << '\n';
+        std::cout << "replay: build/testing/protocol_run --from " << seed << " --count 1" << std::endl;
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options::options_description description(
+        "protocol_run: long seeded random runs over the protocol classes");
+    description.add_options()("help", "show this text")("from",
+        options::value<std::uint64_t>()->default_value(1),
+        "first seed")("count", options::value<std::uint64_t>()->default_value(1000), "how many seeds")(
+        "jobs", options::value<int>()->default_value(1), "threads")("off",
+        options::value<std::vector<std::string>>()->default_value({}, "none"),
+        "switch a mechanism off; may be repeated");
+    options::variables_map values;
+    options::store(options::parse_command_line(argc, argv, description), values);
+    if (values.contains("help")) {
+        std::cout << description << "\nmechanisms: " << ragwortwinch::mechanismNames.list() << '\n';
+        return 0;
+    }
+    ragwortwinch::setInvariantMode(ragwortwinch::InvariantMode::Throw);
+    ragwortwinch::startLogging(argv[0]);
+    FLAGS_minloglevel = google::GLOG_FATAL;
+    std::vector<std::unique_ptr<ragwortwinch::SwitchedOff>> off;
+    for (const std::string& name : values["off"].as<std::vector<std::string>>()) {
+        std::optional<ragwortwinch::Mechanism> mechanism = ragwortwinch::mechanismNames.parse(name);
+        if (!mechanism) {
+            std::cerr << "unknown mechanism; use one of: " << ragwortwinch::mechanismNames.list() << '\n';
+            return 2;
+        }
+        off.push_back(std::make_unique<ragwortwinch::SwitchedOff>(*mechanism));
+    }
+    Search search;
+    search.next = values["from"].as<std::uint64_t>();
+    search.end = search.next + values["count"].as<std::uint64_t>();
+    std::vector<std::thread> threads;
+    for (int index = 0; index < values["jobs"].as<int>(); ++index)
+        threads.emplace_back([&search] { work(search); });
+    for (std::thread& thread : threads)
+        thread.join();
+    std::cout << (search.isFound ? "breach found\n" : "no breach\n");
+    return search.isFound.load() != off.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/testing/protocol/virtual_node.cc
@@ -0,0 +1,287 @@
+#include "testing/protocol/virtual_node.h"
+
+#include "ragwortwinch/base/mechanism.h"
+
+#include <fmt/format.h>
+
+namespace ragwortwinch::protocol {
+
+namespace {
+
+LeaseOptions runLease() { return {runTtl, runMargin, runSendBound, Millis(100)}; }
+
+std::int64_t requestsIn(const WindowUsage& usage)
+{
+    std::int64_t sum = 0;
+    for (const auto& window : usage) {
+        for (const auto& team : window.second)
+            sum += team.second.requests;
+    }
+    return sum;
+}
+
+std::string rulesText(const std::string& changeId)
+{
+    return fmt::format("{{ \"rules\": [\n{{\"rule\": \"limit\", \"name\": \"freshness_bound_ms\", \"value\": "
+                       "{}}} // change {}\n] }}\n",
+        runFreshnessBound.count(), changeId);
+}
+
+} // namespace
+
+VirtualNode::State::State(const std::string& name, const std::string& incarnation)
+    : fleetLease("fleet/zone", name, incarnation, ids, runLease())
+    , journal("zone", name + "." + incarnation, ids, runSendBound, Millis(150))
+    , usageLease("usage/0", name, incarnation, ids, runLease())
+    , closer("0", ids, {runWindow, Millis(300), Millis(150)})
+    , config(ids, Millis(200))
+    , flusher(name, incarnation, ids, Millis(200))
+{
+}
+
+VirtualNode::VirtualNode(
+    std::string name, VirtualTime& time, VirtualStore& store, OutsideWorld& world, std::mt19937_64& random)
+    : name_(std::move(name))
+    , time_(time)
+    , store_(store)
+    , world_(world)
+    , random_(random)
+{
+    start();
+}
+
+void VirtualNode::start() { state_ = std::make_shared<State>(name_, std::to_string(++incarnation_)); }
+
+void VirtualNode::pause(Millis length) { pausedUntil_ = std::max(pausedUntil_, time_.now() + length); }
+
+void VirtualNode::crash(Millis downtime)
+{
+    if (!state_)
+        return;
+    // What the store does not hold for sure is lost at most.
+    std::string stored = store_.valueOf(usageNodePrefix + name_ + "." + std::to_string(incarnation_));
+    lostAtMost_ += requestsIn(state_->totals) - requestsIn(windowUsageFromJson(parseJsonOrDiscard(stored)));
+    state_.reset();
+    time_.after(downtime, [this] { start(); });
+}
+
+bool VirtualNode::isRunning() const { return state_ && time_.now() >= pausedUntil_; }
+
+void VirtualNode::whenRunning(std::function<void(State&)> action)
+{
+    std::weak_ptr<State> process = state_;
+    Millis wait = std::max(Millis(0), std::chrono::duration_cast<Millis>(pausedUntil_ - time_.now()));
+    time_.after(wait, [this, process, action = std::move(action)]() mutable {
+        std::shared_ptr<State> state = process.lock();
+        if (!state || state != state_)
+            return;
+        if (time_.now() < pausedUntil_)
+            whenRunning(std::move(action));
+        else
+            action(*state);
+    });
+}
+
+void VirtualNode::run(StoreOps ops, OnAnswer onAnswer)
+{
+    for (StoreOp& op : ops) {
+        store_.execute(std::move(op), isCutOff_,
+            [this, onAnswer, process = std::weak_ptr<State>(state_)](const StoreAnswer& answer) {
+                if (process.lock() != state_ || !state_)
+                    return;
+                whenRunning(
+                    [this, onAnswer, answer](State& state) { run(onAnswer(state, answer), onAnswer); });
+            });
+    }
+}
+
+Authority VirtualNode::authorityOf(const LeaseKeeper& lease) const
+{
+    if (!lease.isHeld(time_.now()))
+        return {};
+    return {lease.epoch(), lease.isQuietPeriodOver(time_.now())};
+}
+
+void VirtualNode::sendAsHolder(Instant authorityEnd, std::function<SendOutcome()> deliver,
+    std::function<void(State&, SendOutcome)> onResult)
+{
+    if (time_.now() + runSendBound > authorityEnd && isOn(Mechanism::ReportUnderAuthority)) {
+        onResult(*state_, SendOutcome::Unknown);
+        return;
+    }
+    if (chance(0.05))
+        pause(delay(100, 6000));
+    whenRunning([this, authorityEnd, deliver = std::move(deliver), onResult = std::move(onResult)](State&) {
+        bool hasBlown = time_.now() >= authorityEnd && isOn(Mechanism::Fuse);
+        auto outcome = std::make_shared<SendOutcome>(SendOutcome::Unknown);
+        bool isDelivered = !hasBlown && !chance(0.1);
+        Millis way = delay(0, runSendBound.count() - 1);
+        if (isDelivered)
+            time_.after(way, [outcome, deliver] { *outcome = deliver(); });
+        bool isAnswerLost = chance(0.1);
+        // Who waits for a lost answer may give up while the send is still under way.
+        time_.after(isAnswerLost ? delay(1, way.count() + 1) : way + Millis(1),
+            [this, outcome, isAnswerLost, onResult, process = std::weak_ptr<State>(state_)] {
+                if (process.lock() == state_ && state_)
+                    whenRunning([outcome, isAnswerLost, onResult](State& state) {
+                        onResult(state, isAnswerLost ? SendOutcome::Unknown : *outcome);
+                    });
+            });
+    });
+}
+
+void VirtualNode::tick()
+{
+    if (!isRunning())
+        return;
+    State& state = *state_;
+    Instant now = time_.now();
+    run(state.fleetLease.tick(now),
+        [this](State& at, const StoreAnswer& answer) { return at.fleetLease.onAnswer(time_.now(), answer); });
+    run(state.usageLease.tick(now),
+        [this](State& at, const StoreAnswer& answer) { return at.usageLease.onAnswer(time_.now(), answer); });
+    run(state.journal.tick(now, authorityOf(state.fleetLease)),
+        [this](State& at, const StoreAnswer& answer) { return at.journal.onAnswer(time_.now(), answer); });
+    std::uint64_t epoch = state.fleetLease.epoch();
+    auto checksFencing
+        = [](const std::string& endpoint) { return endpoint == OutsideWorld::checkingEndpoint; };
+    for (EndpointOrder& order : state.journal.takeSends(now, authorityOf(state.fleetLease), checksFencing)) {
+        order.epoch = epoch;
+        sendAsHolder(
+            state.fleetLease.authorityEnd(), [this, order] { return world_.receiveOrder(order); },
+            [this, number = order.number](
+                State& at, SendOutcome outcome) { at.journal.onSendResult(time_.now(), number, outcome); });
+    }
+    tickReport(state);
+    run(state.config.tick(now),
+        [this](State& at, const StoreAnswer& answer) { return at.config.onAnswer(time_.now(), answer); });
+    state.config.takeAdopted();
+    if (state.config.version() < state.lastVersion)
+        world_.breach("a node's configuration went back");
+    state.lastVersion = state.config.version();
+    run(state.flusher.tick(now, state.totals),
+        [this](State& at, const StoreAnswer& answer) { return at.flusher.onAnswer(time_.now(), answer); });
+}
+
+void VirtualNode::tickReport(State& state)
+{
+    Instant now = time_.now();
+    Authority authority = authorityOf(state.usageLease);
+    run(state.closer.tick(now, now.time_since_epoch().count(), authority),
+        [this](State& at, const StoreAnswer& answer) { return at.closer.onAnswer(time_.now(), answer); });
+    std::optional<ClosedWindow> report = state.closer.takeReport(now, authority);
+    if (!report)
+        return;
+    sendAsHolder(
+        state.usageLease.authorityEnd(),
+        [this, window = report->window, body = report->reportBody("0"), epoch = authority.epoch] {
+            return world_.receiveReport(window, body, epoch);
+        },
+        [window = report->window](
+            State& at, SendOutcome outcome) { at.closer.onReportResult(window, outcome); });
+}
+
+void VirtualNode::submitOrder(EndpointOrder order)
+{
+    if (isRunning())
+        state_->journal.submit(std::move(order));
+}
+
+void VirtualNode::publish(const std::string& changeId)
+{
+    if (!isRunning())
+        return;
+    auto publisher = std::make_shared<ConfigPublisher>(
+        rulesText(changeId), state_->config.version(), changeId, state_->ids);
+    state_->config.onPublishBegun();
+    run(publisher->start(), [this, publisher, changeId](State& at, const StoreAnswer& answer) {
+        if (publisher->state() != PublishState::Running)
+            return StoreOps{};
+        StoreOps next = publisher->onAnswer(time_.now(), answer);
+        if (publisher->state() != PublishState::Running) {
+            at.config.onPublishEnded(
+                time_.now(), publisher->state() != PublishState::Unknown, publisher->versionInForce());
+            world_.onOperatorTold(changeId, publisher->state());
+        }
+        return next;
+    });
+}
+
+void VirtualNode::count(std::int64_t requests)
+{
+    state_->totals[time_.now().time_since_epoch().count() / runWindow.count()]["riders"].requests += requests;
+}
+
+void VirtualNode::book(const std::string& booking, const std::string& attempt)
+{
+    if (!isRunning())
+        return;
+    std::int64_t latestEnd = (time_.now() + Millis(3000)).time_since_epoch().count();
+    auto claim = std::make_shared<ClaimProtocol>(
+        "riders", booking, ClaimTerms{"the same request", attempt, Millis(600000), latestEnd});
+    run(claim->start(), [this, claim, booking, attempt](State&, const StoreAnswer& answer) {
+        ClaimVerdict before = claim->verdict();
+        StoreOps next = claim->onAnswer(answer, time_.now().time_since_epoch().count());
+        if (before == ClaimVerdict::Pending && claim->verdict() == ClaimVerdict::Proceed)
+            dispatchBooking(claim, booking, attempt);
+        else if (claim->verdict() == ClaimVerdict::StoreDown)
+            world_.onCallerTold(attempt, RunState::NotRun);
+        return next;
+    });
+}
+
+void VirtualNode::dispatchBooking(
+    const std::shared_ptr<ClaimProtocol>& claim, const std::string& booking, const std::string& attempt)
+{
+    HttpCallResult result;
+    result.mayHaveBeenSent = !chance(0.1);
+    bool arrives = result.mayHaveBeenSent && !chance(0.1);
+    bool isAnswered = arrives && !chance(0.2);
+    result.end = !result.mayHaveBeenSent ? CallEnd::NotConnected
+        : isAnswered                     ? CallEnd::Complete
+                                         : CallEnd::TimedOut;
+    result.status = isAnswered ? 200 : 0;
+    if (arrives)
+        time_.after(delay(0, 200), [this, booking, attempt] { world_.receiveBooking(booking, attempt); });
+    time_.after(Millis(250), [this, claim, attempt, result, process = std::weak_ptr<State>(state_)] {
+        if (process.lock() != state_ || !state_)
+            return;
+        whenRunning([this, claim, attempt, result](State&) {
+            RunTracker tracker;
+            tracker.onAttempt(result, false);
+            world_.onCallerTold(attempt, tracker.state());
+            StoreOps ops = tracker.state() == RunState::Ran ? claim->record({200, "application/json", "{}"})
+                : tracker.state() == RunState::NotRun       ? claim->abandon()
+                                                            : claim->recordUnknown();
+            run(std::move(ops), [this, claim](State&, const StoreAnswer& answer) {
+                return claim->onAnswer(answer, time_.now().time_since_epoch().count());
+            });
+        });
+    });
+}
+
+void VirtualNode::hear(const PeerStatement& statement)
+{
+    if (isRunning())
+        state_->config.onPeerStatement(time_.now(), statement);
+}
+
+PeerStatement VirtualNode::statement(Instant echoed) const
+{
+    PeerStatement said;
+    said.peer = name_;
+    said.version = state_->config.version();
+    said.madeAt = echoed;
+    said.provedAt = echoed - std::chrono::duration_cast<Millis>(time_.now() - state_->config.provedAt());
+    said.isStoreDown = state_->config.maySayStoreIsDown(time_.now());
+    return said;
+}
+
+void VirtualNode::checkServing(const std::set<std::string>& others)
+{
+    if (isRunning() && state_->config.mayServeKeyed(time_.now(), others))
+        world_.onServedKeyed(
+            state_->config.version(), time_.now(), runFreshnessBound + VirtualStore::oldestRead);
+}
+
+} // namespace ragwortwinch::protocol
--- /dev/null
+++ b/testing/protocol/virtual_node.h
@@ -0,0 +1,103 @@
+// One node's protocol classes under virtual time: the same classes as the daemon's, with pauses and crashes.
+#pragma once
+
+#include "ragwortwinch/config/config_keeper.h"
+#include "ragwortwinch/config/config_publisher.h"
+#include "ragwortwinch/dispatch/claim_protocol.h"
+#include "ragwortwinch/fleet/order_journal.h"
+#include "ragwortwinch/lease/lease_keeper.h"
+#include "ragwortwinch/usage/usage_flusher.h"
+#include "ragwortwinch/usage/window_closer.h"
+#include "testing/protocol/outside_world.h"
+#include "testing/protocol/virtual_store.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace ragwortwinch::protocol {
+
+// The times of a run; short, so that a schedule holds many of them.
+inline constexpr Millis runTtl{1000};
+inline constexpr Millis runMargin{100};
+inline constexpr Millis runSendBound{600};
+inline constexpr Millis runWindow{2000};
+inline constexpr Millis runFreshnessBound{1000};
+
+class VirtualNode {
+public:
+    VirtualNode(std::string name, VirtualTime& time, VirtualStore& store, OutsideWorld& world,
+        std::mt19937_64& random);
+
+    void pause(Millis length);
+    void crash(Millis downtime);
+    void setCutOff(bool value) { isCutOff_ = value; }
+    bool isCutOff() const { return isCutOff_; }
+    bool isRunning() const;
+    void tick();
+
+    void submitOrder(EndpointOrder order);
+    void publish(const std::string& changeId);
+    void count(std::int64_t requests);
+    void book(const std::string& booking, const std::string& attempt);
+    void hear(const PeerStatement& statement);
+    // What this node tells `peer`, for a heartbeat that it heard from it at `echoed`.
+    PeerStatement statement(Instant echoed) const;
+    void checkServing(const std::set<std::string>& others);
+
+    // Whether this process believes that it may give orders, or report usage, now.
+    bool believesInFleet() const { return state_ && state_->fleetLease.isHeld(time_.now()); }
+    bool believesInUsage() const { return state_ && state_->usageLease.isHeld(time_.now()); }
+    const std::string& name() const { return name_; }
+    std::uint64_t version() const { return state_ ? state_->config.version() : 0; }
+    // What crashes have lost at most.
+    std::int64_t lostAtMost() const { return lostAtMost_; }
+
+private:
+    // All that dies with the process.
+    struct State {
+        State(const std::string& name, const std::string& incarnation);
+        OpIds ids;
+        LeaseKeeper fleetLease;
+        OrderJournal journal;
+        LeaseKeeper usageLease;
+        WindowCloser closer;
+        ConfigKeeper config;
+        UsageFlusher flusher;
+        WindowUsage totals;
+        std::uint64_t lastVersion = 0;
+    };
+    using OnAnswer = std::function<StoreOps(State&, const StoreAnswer&)>;
+
+    void start();
+    // Runs `action` on the process as it is now, once it is not paused; not after a crash.
+    void whenRunning(std::function<void(State&)> action);
+    void run(StoreOps ops, OnAnswer onAnswer);
+    Authority authorityOf(const LeaseKeeper& lease) const;
+    // Sends under authority: with a pause between check and send now and then.
+    void sendAsHolder(Instant authorityEnd, std::function<SendOutcome()> deliver,
+        std::function<void(State&, SendOutcome)> onResult);
+    void dispatchBooking(
+        const std::shared_ptr<ClaimProtocol>& claim, const std::string& booking, const std::string& attempt);
+    void tickReport(State& state);
+    bool chance(double probability) { return std::uniform_real_distribution<>(0, 1)(random_) < probability; }
+    Millis delay(std::int64_t least, std::int64_t most)
+    {
+        return Millis(std::uniform_int_distribution<std::int64_t>(least, most)(random_));
+    }
+
+    std::string name_;
+    VirtualTime& time_;
+    VirtualStore& store_;
+    OutsideWorld& world_;
+    std::mt19937_64& random_;
+    std::shared_ptr<State> state_;
+    int incarnation_ = 0;
+    Instant pausedUntil_;
+    bool isCutOff_ = false;
+    std::int64_t lostAtMost_ = 0;
+};
+
+} // namespace ragwortwinch::protocol
--- /dev/null
+++ b/testing/protocol/virtual_store.cc
@@ -0,0 +1,121 @@
+#include "testing/protocol/virtual_store.h"
+
+#include <memory>
+
+namespace ragwortwinch::protocol {
+
+VirtualStore::VirtualStore(VirtualTime& time, std::mt19937_64& random)
+    : time_(time)
+    , random_(random)
+{
+}
+
+void VirtualStore::execute(StoreOp op, bool isCutOff, std::function<void(StoreAnswer)> onAnswer)
+{
+    auto isAnswered = std::make_shared<bool>(false);
+    std::uint64_t id = op.id;
+    auto answerOnce = [isAnswered, onAnswer = std::move(onAnswer)](const StoreAnswer& answer) {
+        if (!std::exchange(*isAnswered, true))
+            onAnswer(answer);
+    };
+    time_.after(clientTimeout, [answerOnce, id] {
+        StoreAnswer unknown;
+        unknown.opId = id;
+        answerOnce(unknown);
+    });
+    if (isCutOff || chance(faults_.lostRequest))
+        return;
+    Millis transit = chance(faults_.slowRequest) ? delay(longestTransit.count()) : delay(10);
+    time_.after(transit, [this, op = std::move(op), answerOnce, id] {
+        StoreAnswer answer;
+        if (isOut_)
+            answer.status = StoreStatus::Unavailable;
+        else
+            answer = apply(op);
+        answer.opId = id;
+        if (chance(faults_.lostAnswer))
+            return;
+        time_.after(delay(10), [answerOnce, answer] { answerOnce(answer); });
+    });
+}
+
+void VirtualStore::expire()
+{
+    std::erase_if(values_,
+        [&](const auto& entry) { return entry.second.expiresAt && *entry.second.expiresAt <= time_.now(); });
+}
+
+StoreAnswer VirtualStore::apply(const StoreOp& op)
+{
+    expire();
+    if (op.verb == StoreVerb::Get || op.verb == StoreVerb::List)
+        return read(op);
+    return write(op);
+}
+
+StoreAnswer VirtualStore::read(const StoreOp& op)
+{
+    StoreAnswer answer;
+    answer.status = StoreStatus::Ok;
+    if (op.verb == StoreVerb::List) {
+        for (auto entry = values_.lower_bound(op.key);
+             entry != values_.end() && entry->first.starts_with(op.key); ++entry)
+            answer.entries.push_back({entry->first, entry->second.text, entry->second.revision});
+        return answer;
+    }
+    auto old = old_.find(op.key);
+    if (old != old_.end() && time_.now() - old->second.replacedAt <= oldestRead
+        && chance(faults_.olderRead)) {
+        answer.value = old->second.value.text;
+        answer.revision = old->second.value.revision;
+        return answer;
+    }
+    auto found = values_.find(op.key);
+    if (found == values_.end()) {
+        answer.status = StoreStatus::NotFound;
+        return answer;
+    }
+    answer.value = found->second.text;
+    answer.revision = found->second.revision;
+    return answer;
+}
+
+StoreAnswer VirtualStore::write(const StoreOp& op)
+{
+    StoreAnswer answer;
+    auto found = values_.find(op.key);
+    std::uint64_t current = found == values_.end() ? 0 : found->second.revision;
+    if (op.expectedRevision && *op.expectedRevision != current) {
+        answer.status
+            = op.verb == StoreVerb::KeepAlive && !current ? StoreStatus::NotFound : StoreStatus::Conflict;
+        answer.revision = current;
+        return answer;
+    }
+    answer.status = StoreStatus::Ok;
+    std::optional<Instant> expiresAt;
+    if (op.ttl.count() > 0)
+        expiresAt = time_.now() + op.ttl;
+    if (op.verb == StoreVerb::KeepAlive) {
+        found->second.expiresAt = expiresAt;
+        answer.revision = current;
+        return answer;
+    }
+    if (found != values_.end())
+        old_[op.key] = {found->second, time_.now()};
+    answer.revision = ++revision_;
+    if (op.verb == StoreVerb::Delete)
+        values_.erase(op.key);
+    else
+        values_[op.key] = {op.value, revision_, expiresAt};
+    if (observer_)
+        observer_(op, revision_);
+    return answer;
+}
+
+std::string VirtualStore::valueOf(const std::string& key) const
+{
+    auto found = values_.find(key);
+    return found == values_.end() ? std::string() : found->second.text;
+}
+
+} // namespace ragwortwinch::protocol
--- /dev/null
+++ b/testing/protocol/virtual_store.h
@@ -0,0 +1,74 @@
+// The platform's key-value service under virtual time, with its faults: outages, slow and lost requests,
+// answers lost after taking effect, requests that arrive after their sender has given up, older reads.
+#pragma once
+
+#include "ragwortwinch/store/store_op.h"
+#include "testing/protocol/virtual_time.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+
+namespace ragwortwinch::protocol {
+
+struct StoreFaults {
+    double lostRequest = 0.03;
+    double lostAnswer = 0.05;
+    double slowRequest = 0.03;
+    double olderRead = 0.03;
+};
+
+class VirtualStore {
+public:
+    VirtualStore(VirtualTime& time, std::mt19937_64& random);
+
+    // Sends an operation; `onAnswer` comes once, as Unknown after the client's time-out.
+    void execute(StoreOp op, bool isCutOff, std::function<void(StoreAnswer)> onAnswer);
+    void setOutage(bool value) { isOut_ = value; }
+    void setFaults(const StoreFaults& faults) { faults_ = faults; }
+    // Called with each write that takes effect.
+    void setObserver(std::function<void(const StoreOp&, std::uint64_t revision)> observer)
+    {
+        observer_ = std::move(observer);
+    }
+    std::string valueOf(const std::string& key) const;
+
+    static constexpr Millis clientTimeout{300};
+    // A request that is under way arrives within this time, or never.
+    static constexpr Millis longestTransit{1200};
+    static constexpr Millis oldestRead{400};
+
+private:
+    struct Value {
+        std::string text;
+        std::uint64_t revision = 0;
+        std::optional<Instant> expiresAt;
+    };
+    struct OldValue {
+        Value value;
+        Instant replacedAt;
+    };
+
+    StoreAnswer apply(const StoreOp& op);
+    StoreAnswer read(const StoreOp& op);
+    StoreAnswer write(const StoreOp& op);
+    void expire();
+    bool chance(double probability) { return std::uniform_real_distribution<>(0, 1)(random_) < probability; }
+    Millis delay(std::int64_t most)
+    {
+        return Millis(std::uniform_int_distribution<std::int64_t>(0, most)(random_));
+    }
+
+    VirtualTime& time_;
+    std::mt19937_64& random_;
+    StoreFaults faults_;
+    bool isOut_ = false;
+    std::uint64_t revision_ = 1;
+    std::map<std::string, Value> values_;
+    std::map<std::string, OldValue> old_;
+    std::function<void(const StoreOp&, std::uint64_t)> observer_;
+};
+
+} // namespace ragwortwinch::protocol
--- /dev/null
+++ b/testing/protocol/virtual_time.h
@@ -0,0 +1,40 @@
+// A virtual clock and the events that wait for it. Deterministic: events at one instant run in the order of
+// posting.
+//
+//     VirtualTime time;
+//     time.after(Millis(50), [&] { ... });
+//     time.runUntil(time.now() + Millis(1000));
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+
+#include <functional>
+#include <map>
+
+namespace ragwortwinch::protocol {
+
+class VirtualTime {
+public:
+    Instant now() const { return now_; }
+    void after(Millis delay, std::function<void()> action)
+    {
+        events_.emplace(now_ + delay, std::move(action));
+    }
+    void runUntil(Instant end)
+    {
+        while (!events_.empty() && events_.begin()->first <= end) {
+            auto first = events_.begin();
+            now_ = first->first;
+            std::function<void()> action = std::move(first->second);
+            events_.erase(first);
+            action();
+        }
+        now_ = end;
+    }
+
+private:
+    Instant now_{Millis(1000000)};
+    std::multimap<Instant, std::function<void()>> events_;
+};
+
+} // namespace ragwortwinch::protocol
