Prove the promises with real processes under kills, stops and outages

Cause: the random runs drive the protocol classes only; what the programs make of them had no test. Ruled out: a shell harness (no events to wait for); fixed ports. Change: a small harness and 22 cases over real nodes and stand-ins: resumption, silent connections, crossed answers, bookings under lost answers and outages, racing operators, withdrawn keys, a node that starts in an outage, a stopped holder, usage under kills, planned stops, bad input. Noticed: a keyed request may be refused for a few hundred milliseconds when an outage begins and the freshness bound is shorter than the store's time-out plus two reads; the defaults leave room.

--- /dev/null
+++ b/testing/process/chat_process_test.cc
@@ -0,0 +1,140 @@
+#include "testing/process/test_system.h"
+
+#include <doctest/doctest.h>
+#include <future>
+#include <thread>
+
+namespace ragwortwinch::process {
+namespace {
+
+std::string contentOf(const HttpCallResult& answer)
+{
+    return stringMember(parseJsonOrDiscard(answer.body)["choices"][0]["message"], "content");
+}
+
+// Returns the engine that generates now.
+ChildProcess* busyEngine(TestSystem& system)
+{
+    for (const std::unique_ptr<ChildProcess>& engine : system.engines) {
+        if (integerMember(system.control(*engine, "state"), "running") > 0)
+            return engine.get();
+    }
+    return nullptr;
+}
+
+// Breaks the engine of a running answer with `disturb`; the answer must come whole all the same.
+void checkResumed(const std::function<void(TestSystem&, ChildProcess&)>& disturb)
+{
+    TestSystem system({.nodes = 1, .engines = 2});
+    std::string expected = contentOf(system.chat(0, "the same prompt", 300));
+    std::future<HttpCallResult> answer
+        = std::async(std::launch::async, [&] { return system.chat(0, "the same prompt", 300); });
+    ChildProcess* engine = nullptr;
+    system.until("an engine generates", [&] { return (engine = busyEngine(system)) != nullptr; });
+    std::this_thread::sleep_for(Millis(300));
+    disturb(system, *engine);
+    HttpCallResult result = answer.get();
+    CHECK(result.status == 200);
+    CHECK(contentOf(result) == expected);
+    CHECK(system.admin(0, "GET", "/dump")["broken_invariants"] == 0);
+}
+
+TEST_CASE("an answer goes on at another engine when its engine is killed")
+{
+    checkResumed([](TestSystem&, ChildProcess& engine) { engine.signal(SIGKILL); });
+}
+
+TEST_CASE("an answer goes on at another engine when its connection falls silent")
+{
+    checkResumed([](TestSystem&, ChildProcess& engine) { engine.signal(SIGSTOP); });
+}
+
+TEST_CASE("an answer with another request's id is not taken")
+{
+    TestSystem system({.nodes = 1, .engines = 2});
+    std::string expected = contentOf(system.chat(0, "whose answer", 10));
+    for (const std::unique_ptr<ChildProcess>& engine : system.engines) {
+        system.setFault(*engine, "wrong_id");
+        CHECK(contentOf(system.chat(0, "whose answer", 10)) == expected);
+        system.setFault(*engine, "none");
+        system.until("the engine is used again", [&] {
+            return booleanMember(system.admin(0, "GET", "/admin/v1/status")["endpoints"][0], "usable");
+        });
+    }
+}
+
+TEST_CASE("a stream ends with its terminal marker, and without it when no engine is left")
+{
+    TestSystem system({.nodes = 1, .engines = 1});
+    HttpCallResult whole = system.chat(0, "streamed", 20, true);
+    CHECK(whole.body.ends_with("data: [DONE]\n\n"));
+    std::future<HttpCallResult> answer
+        = std::async(std::launch::async, [&] { return system.chat(0, "streamed", 2000, true); });
+    system.until("the engine generates", [&] { return busyEngine(system) != nullptr; });
+    std::this_thread::sleep_for(Millis(200));
+    system.engines[0]->signal(SIGKILL);
+    HttpCallResult cut = answer.get();
+    CHECK(cut.body.find("[DONE]") == std::string::npos);
+    CHECK(cut.body.find("\"request\":\"ran\"") != std::string::npos);
+}
+
+TEST_CASE("no byte that an engine or a service sees holds the key")
+{
+    TestSystem system({.nodes = 1, .engines = 1});
+    system.chat(0, "secret", 3);
+    system.book(0, "crate", "once-1");
+    CHECK(system.control(*system.engines[0], "state").dump().find(TestSystem::key) == std::string::npos);
+    CHECK(system.control(*system.services[0], "state").dump().find(TestSystem::key) == std::string::npos);
+    CHECK(system.admin(0, "GET", "/dump").dump().find(TestSystem::key) == std::string::npos);
+}
+
+TEST_CASE("a planned stop of a node cuts no stream and ends by itself")
+{
+    TestSystem system({.nodes = 2, .engines = 1});
+    std::future<HttpCallResult> answer
+        = std::async(std::launch::async, [&] { return system.chat(0, "a long answer", 500, true); });
+    system.until("the engine generates", [&] { return busyEngine(system) != nullptr; });
+    system.nodes[0]->signal(SIGTERM);
+    system.until("the node is no longer offered", [&] {
+        return parseJsonOrDiscard(system.entry(1, "GET", "/v1/entry").body)["addresses"].size() == 1;
+    });
+    CHECK(answer.get().body.ends_with("data: [DONE]\n\n"));
+    CHECK(system.nodes[0]->wait() == 0);
+}
+
+TEST_CASE("a leaving engine finishes its stream and gets no new work, also from a node that no list reaches")
+{
+    TestSystem system({.nodes = 2, .engines = 2});
+    // The nodes' word on an outage counts once they have read the store for a while after their start.
+    std::this_thread::sleep_for(Millis(4000));
+    std::future<HttpCallResult> answer
+        = std::async(std::launch::async, [&] { return system.chat(0, "leaving", 600, true); });
+    ChildProcess* engine = nullptr;
+    system.until("an engine generates", [&] { return (engine = busyEngine(system)) != nullptr; });
+    system.setFault(*system.platform, "silent");
+    system.control(*engine, "leave", "{}");
+    std::string name = engine == system.engines[0].get() ? "engine-0" : "engine-1";
+    for (int node : {0, 1}) {
+        system.until("the node knows that the engine leaves", [&] {
+            Json status = system.admin(node, "GET", "/admin/v1/status");
+            for (const Json& endpoint : status["endpoints"]) {
+                if (stringMember(endpoint, "name") == name)
+                    return booleanMember(endpoint, "leaving");
+            }
+            return false;
+        });
+    }
+    CHECK(answer.get().body.ends_with("data: [DONE]\n\n"));
+    for (int node : {0, 1})
+        system.until("the nodes agree that the store is down", [&] {
+            return integerMember(system.admin(node, "GET", "/admin/v1/status"), "proof_age_ms") > 2500
+                && system.chat(node, "agreed", 1).status == 200;
+        });
+    std::string seen = stringMember(system.control(*engine, "state"), "last_body");
+    for (int index = 0; index < 6; ++index)
+        CHECK(system.chat(index % 2, "after " + std::to_string(index), 2).status == 200);
+    CHECK(stringMember(system.control(*engine, "state"), "last_body") == seen);
+}
+
+} // namespace
+} // namespace ragwortwinch::process
--- /dev/null
+++ b/testing/process/child_process.h
@@ -0,0 +1,39 @@
+// A program started by a test: its ports, signals to it, and its end.
+//
+//     ChildProcess engine("build/testing/engine_stand_in", {"--token-rate", "200"});
+//     engine.port("port");
+//     engine.signal(SIGKILL);
+#pragma once
+
+#include <csignal>
+#include <cstdint>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace ragwortwinch::process {
+
+class ChildProcess {
+public:
+    // Starts the program and waits for its line of ports.
+    ChildProcess(const std::string& program, const std::vector<std::string>& arguments);
+    // Continues and kills the program if it still runs.
+    ~ChildProcess();
+    ChildProcess(const ChildProcess&) = delete;
+    ChildProcess& operator=(const ChildProcess&) = delete;
+
+    // Returns the number after `name=` in the line that the program printed.
+    std::uint16_t port(const std::string& name) const;
+    void signal(int number) const { kill(pid_, number); }
+    // Waits for the end; returns the exit code, or minus the signal that ended it.
+    int wait();
+    // Resident memory in kilobytes.
+    long residentKilobytes() const;
+
+private:
+    pid_t pid_ = -1;
+    std::string line_;
+    bool hasEnded_ = false;
+};
+
+} // namespace ragwortwinch::process
--- /dev/null
+++ b/testing/process/config_process_test.cc
@@ -0,0 +1,103 @@
+#include "testing/process/test_system.h"
+
+#include <doctest/doctest.h>
+#include <future>
+#include <thread>
+
+namespace ragwortwinch::process {
+namespace {
+
+std::int64_t versionAt(TestSystem& system, int node)
+{
+    return integerMember(system.admin(node, "GET", "/admin/v1/status"), "config_version");
+}
+
+TEST_CASE("of racing operators one is accepted and the others are told the version in force")
+{
+    TestSystem system({.nodes = 3, .engines = 1, .services = 1});
+    std::vector<std::future<Json>> answers;
+    for (int index = 0; index < 6; ++index)
+        answers.push_back(std::async(std::launch::async, [&, index] {
+            return system.applyRules(index % 3,
+                "{\"rule\": \"limit\", \"name\": \"retry_percent\", \"value\": " + std::to_string(10 + index)
+                    + "}, // race\n",
+                1);
+        }));
+    int accepted = 0;
+    for (std::future<Json>& answer : answers) {
+        Json result = answer.get();
+        if (integerMember(result, "version") == 2)
+            ++accepted;
+        else {
+            CHECK(stringMember(result["error"], "kind") == "conflict");
+            CHECK(stringMember(result["error"], "message").find("version 2") != std::string::npos);
+        }
+    }
+    CHECK(accepted == 1);
+    for (int node = 0; node < 3; ++node)
+        system.until("the change is in force", [&] { return versionAt(system, node) == 2; });
+}
+
+TEST_CASE("a withdrawn key stops working on every node, on kept connections too")
+{
+    TestSystem system({.nodes = 3, .engines = 1, .services = 1});
+    for (int node = 0; node < 3; ++node)
+        CHECK(system.chat(node, "before", 1).status == 200);
+    system.applyRules(0, {}, 1, false);
+    for (int node = 0; node < 3; ++node)
+        system.until("the key is refused", [&] { return system.chat(node, "after", 1).status == 401; });
+    for (int node = 0; node < 3; ++node)
+        CHECK(system.chat(node, "still", 1).status == 401);
+}
+
+TEST_CASE("in an outage keyed requests go on while all VMs agree, and stop when one is out of reach")
+{
+    TestSystem system({.nodes = 3, .engines = 1, .services = 1});
+    // A node's word counts once it has read the store for a while after its start.
+    std::this_thread::sleep_for(Millis(4000));
+    system.setFault(*system.platform, "outage");
+    system.until("the proof is old",
+        [&] { return integerMember(system.admin(0, "GET", "/admin/v1/status"), "proof_age_ms") > 4000; });
+    system.until("all VMs agree", [&] { return system.chat(0, "agreed", 1).status == 200; });
+    system.nodes[2]->signal(SIGSTOP);
+    system.until("keyed requests are refused", [&] { return system.chat(0, "not agreed", 1).status == 503; });
+    CHECK(system.entry(0, "POST", "/open/hours", "{\"id\":\"open\"}", "").status == 200);
+    system.nodes[2]->signal(SIGCONT);
+    system.until("all VMs agree again", [&] { return system.chat(0, "agreed again", 1).status == 200; });
+    system.setFault(*system.platform, "none");
+    system.untilReady();
+}
+
+TEST_CASE("a node cut off from the store refuses a withdrawn key within the bound")
+{
+    TestSystem system({.nodes = 2, .engines = 1, .services = 1});
+    system.nodes[1]->signal(SIGSTOP);
+    system.applyRules(0, {}, 1, false);
+    std::this_thread::sleep_for(Millis(2000));
+    system.nodes[1]->signal(SIGCONT);
+    // It wakes with the old list of keys; none of its answers may use it.
+    for (int index = 0; index < 20; ++index)
+        CHECK(system.chat(1, "woken", 1).status != 200);
+}
+
+TEST_CASE("a node that starts in an outage learns the configuration from its peers and nothing reverts")
+{
+    TestSystem system({.nodes = 2, .engines = 1, .services = 1});
+    system.applyRules(0, "{\"rule\": \"limit\", \"name\": \"retry_percent\", \"value\": 20}, // tests\n", 1);
+    system.until("the change is in force", [&] { return versionAt(system, 1) == 2; });
+    system.nodes[0]->signal(SIGKILL);
+    system.addNode();
+    system.setFault(*system.platform, "outage");
+    system.addNode();
+    system.until("the new node has the configuration", [&] { return versionAt(system, 3) == 2; });
+    CHECK(versionAt(system, 1) == 2);
+    // It can't know whether the version is the newest: only open routes run on it.
+    CHECK(system.chat(3, "keyed", 1).status == 503);
+    system.until("open routes run",
+        [&] { return system.entry(3, "POST", "/open/hours", "{\"id\":\"open\"}", "").status == 200; });
+    system.setFault(*system.platform, "none");
+    system.until("keyed requests run", [&] { return system.chat(3, "keyed", 1).status == 200; });
+}
+
+} // namespace
+} // namespace ragwortwinch::process
