--- a/ragwortwinch/dispatch/chat_request.cc
+++ b/ragwortwinch/dispatch/chat_request.cc
@@ -1,7 +1,5 @@
 #include "ragwortwinch/dispatch/chat_request.h"
 
-#include <algorithm>
-
 namespace ragwortwinch {
 
 namespace {
@@ -50,8 +48,9 @@
             appendContent(request.prompt, message["content"]);
     }
     request.wantsStream = booleanMember(request.body, "stream");
-    std::int64_t maxTokens = std::max(
-        integerMember(request.body, "max_tokens"), integerMember(request.body, "max_completion_tokens"));
+    const char* limitName
+        = request.body.contains("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
+    std::int64_t maxTokens = integerMember(request.body, limitName);
     if (maxTokens < 0 || maxTokens > mostTokens)
         return makeError(ErrorKind::BadRequest, "`max_tokens` must be from 1 to 32768");
     request.maxTokens = maxTokens == 0 ? defaultMaxTokens : maxTokens;
