Measure slopes and costs; log nothing below the level

Change: microbenchmarks, a measure of real processes against a bare reply, a test that stops the real sender between its check and its send; events below the level cost no line. Late orders of a stopped sender: some of 10 without the fuse, 0 of 200 with it.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# `make demo` and `make test` do all set-up on a fresh machine.
+# `make demo`, `make test` and `make bench` do all set-up on a fresh machine.
 BUILD := build
 JOBS := 6
 
@@ -15,7 +15,12 @@
 	./tools/demo.sh
 
 test: build
-	ctest --test-dir $(BUILD) --output-on-failure -j3
+	ctest --test-dir $(BUILD) --output-on-failure --timeout 600 -j3
+
+# Slopes by microbenchmarks, and the costs of real processes against a bare reply.
+bench: build
+	$(BUILD)/bench/micro_benchmarks --benchmark_min_time=0.2
+	$(BUILD)/bench/process_costs
 
 format:
 	git ls-files '*.h' '*.cc' | xargs clang-format -i
--- a/ragwortwinch/base/log_event.cc
+++ b/ragwortwinch/base/log_event.cc
@@ -46,6 +46,8 @@
 
 LogEvent::~LogEvent()
 {
+    if (static_cast<int>(severity_) < FLAGS_minloglevel)
+        return;
     switch (severity_) {
     case Severity::Info:
         LOG(INFO) << line_;
--- /dev/null
+++ b/ragwortwinch/fleet/order_sender_test.cc
@@ -0,0 +1,108 @@
+#include "ragwortwinch/fleet/order_sender.h"
+
+#include "ragwortwinch/base/mechanism.h"
+
+#include <arpa/inet.h>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <future>
+#include <memory>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace ragwortwinch {
+namespace {
+
+constexpr Millis sendBound{40};
+constexpr Millis authority{60};
+
+// Listens on a port of the system's choice.
+int listenOn(std::uint16_t& port)
+{
+    int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    REQUIRE(listen(descriptor, 16) == 0);
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+    port = ntohs(address.sin_port);
+    return descriptor;
+}
+
+// In a process of its own: the sender is stopped between its check of authority and its send.
+void sendStopped(std::uint16_t port)
+{
+    OrderSender sender(sendBound);
+    sender.setPausePoint([] { raise(SIGSTOP); });
+    std::promise<SendOutcome> outcome;
+    sender.post(
+        {fmt::format("http://127.0.0.1:{}/v1/orders", port), "{}", {}, SystemClock().now() + authority},
+        [&](SendOutcome value) { outcome.set_value(value); });
+    outcome.get_future().get();
+    _exit(0);
+}
+
+bool lateOrderArrives()
+{
+    std::uint16_t port = 0;
+    int listener = listenOn(port);
+    pid_t child = fork();
+    if (child == 0)
+        sendStopped(port);
+    int status = 0;
+    waitpid(child, &status, WUNTRACED);
+    REQUIRE(WIFSTOPPED(status));
+    std::this_thread::sleep_for(authority + Millis(10));
+    kill(child, SIGCONT);
+    waitpid(child, &status, 0);
+    timeval wait{0, 1000};
+    setsockopt(listener, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    int accepted = accept(listener, nullptr, nullptr);
+    char buffer[16];
+    bool hasArrived = accepted >= 0 && recv(accepted, buffer, sizeof(buffer), 0) > 0;
+    if (accepted >= 0)
+        close(accepted);
+    close(listener);
+    return hasArrived;
+}
+
+int countLate(int repeats)
+{
+    int count = 0;
+    for (int index = 0; index < repeats; ++index)
+        count += lateOrderArrives() ? 1 : 0;
+    return count;
+}
+
+TEST_CASE(
+    "an order of a sender that was stopped after its check never arrives late; without the fuse it does")
+{
+    {
+        SwitchedOff off(Mechanism::Fuse);
+        CHECK(countLate(10) > 0);
+    }
+    CHECK(countLate(200) == 0);
+}
+
+TEST_CASE("nothing is sent when less authority is left than a send may take")
+{
+    std::uint16_t port = 0;
+    int listener = listenOn(port);
+    OrderSender sender(sendBound);
+    std::promise<SendOutcome> outcome;
+    sender.post({fmt::format("http://127.0.0.1:{}/", port), "{}", {}, SystemClock().now() + sendBound / 2},
+        [&](SendOutcome value) { outcome.set_value(value); });
+    CHECK(outcome.get_future().get() == SendOutcome::Unknown);
+    timeval wait{0, 1000};
+    setsockopt(listener, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
+    CHECK(accept(listener, nullptr, nullptr) == -1);
+    close(listener);
+}
+
+} // namespace
+} // namespace ragwortwinch
--- a/ragwortwinch/lease/authority_fuse.cc
+++ b/ragwortwinch/lease/authority_fuse.cc
@@ -1,5 +1,7 @@
 #include "ragwortwinch/lease/authority_fuse.h"
 
+#include "ragwortwinch/base/mechanism.h"
+
 #include <cerrno>
 #include <fcntl.h>
 #include <netinet/in.h>
@@ -70,6 +72,8 @@
 void AuthorityFuse::arm(Instant authorityEnd)
 {
     isBlown_.store(false);
+    if (!isOn(Mechanism::Fuse))
+        return;
     itimerspec when{};
     std::int64_t millis = authorityEnd.time_since_epoch().count();
     when.it_value.tv_sec = millis / 1000;
--- a/testing/process/child_process.h
+++ b/testing/process/child_process.h
@@ -24,6 +24,7 @@
 
     // Returns the number after `name=` in the line that the program printed.
     std::uint16_t port(const std::string& name) const;
+    pid_t pid() const { return pid_; }
     void signal(int number) const { kill(pid_, number); }
     // Waits for the end; returns the exit code, or minus the signal that ended it.
     int wait();
--- a/testing/process/test_system.cc
+++ b/testing/process/test_system.cc
@@ -46,7 +46,7 @@
     for (int index = 0; index < size.engines; ++index)
         engines.push_back(std::make_unique<ChildProcess>(binary("testing/engine_stand_in"),
             std::vector<std::string>{"--name", fmt::format("engine-{}", index), "--token-rate",
-                size.tokenRate, "--lag-ms", "50", "--checks-fencing",
+                size.tokenRate, "--lag-ms", "50", "--pieces", size.pieces, "--checks-fencing",
                 size.engineChecksFencing ? "true" : "false"}));
     for (int index = 0; index < size.services; ++index)
         services.push_back(std::make_unique<ChildProcess>(binary("testing/plain_service_stand_in"),
@@ -114,9 +114,11 @@
     text += R"({"rule": "limit", "name": "freshness_bound_ms", "value": 1500}, // tests
 {"rule": "limit", "name": "entry_answer_ms", "value": 300}, // tests
 {"rule": "limit", "name": "stream_idle_ms", "value": 600}, // tests
+{"rule": "limit", "name": "queue_per_team", "value": 10000}, // tests
 )";
     return text
-        + fmt::format("{{\"rule\": \"team\", \"name\": \"riders\", \"keys\": [{}]}} // tests\n] }}\n",
+        + fmt::format("{{\"rule\": \"team\", \"name\": \"riders\", \"max_concurrent\": 10000, \"keys\": "
+                      "[{}]}} // tests\n] }}\n",
             withKey ? "\"" + sha256Hex(key) + "\"" : "");
 }
 
