--- a/ragwortwinch/config/config_keeper.cc
+++ b/ragwortwinch/config/config_keeper.cc
@@ -48,7 +48,8 @@
         inDoubtUntil_ = now + settleTime;
     if (headOp_ != 0 || partOp_ != 0 || now < nextRead_)
         return {};
-    bool isProvedByPeers = learnsFromPeers_ && version() > 0 && now - provedAt_ < readInterval_ * 2;
+    bool isProvedByPeers = learnsFromPeers_ && isDoubtSettled_ && version() > 0 && version() >= newestKnown_
+        && now - provedAt_ < readInterval_ * 2;
     if (isProvedByPeers)
         return {};
     headOp_ = ids_.next();
@@ -152,6 +153,7 @@
     if (statement.madeAt < known.madeAt)
         return;
     known = statement;
+    newestKnown_ = std::max(newestKnown_, statement.version);
     if (statement.version == version() && version() > 0)
         provedAt_ = std::max(provedAt_, statement.provedAt);
 }
--- a/ragwortwinch/node/node.cc
+++ b/ragwortwinch/node/node.cc
@@ -19,6 +19,8 @@
 constexpr Millis gateValidity{500};
 constexpr std::size_t maxPrefixEntries = 65536;
 constexpr std::size_t rememberedHeartbeats = 2000;
+// How many nodes of an availability zone read the store; the others learn from peers.
+constexpr int storeReadersPerZone = 2;
 constexpr int silentHeartbeats = 6;
 constexpr int adminMaxBodyBytes = 64 * 1024 * 1024;
 
@@ -155,8 +157,22 @@
     tickDrain(now);
 }
 
+bool Node::canLearnFromPeers(Instant now) const
+{
+    int readers = 0;
+    for (const auto& entry : vms_.entries()) {
+        bool isHeard = entry.second.lastHeard != Instant::min()
+            && now - entry.second.lastHeard <= settings_.heartbeatInterval * silentHeartbeats;
+        bool isBefore = entry.second.info.availabilityZone == settings_.availabilityZone
+            && entry.first < settings_.node;
+        readers += isHeard && isBefore ? 1 : 0;
+    }
+    return readers >= storeReadersPerZone;
+}
+
 void Node::tickConfig(Instant now)
 {
+    config_.setLearnsFromPeers(canLearnFromPeers(now));
     runner_.run(config_.tick(now),
         [this](Instant at, const StoreAnswer& answer) { return config_.onAnswer(at, answer); });
     if (std::optional<std::string> peer = config_.takePeerToAsk(now))
--- a/ragwortwinch/node/node.h
+++ b/ragwortwinch/node/node.h
@@ -74,6 +74,8 @@
     void scheduleTick();
     void tick();
     void tickConfig(Instant now);
+    // Whether enough other nodes of this availability zone read the store for it.
+    bool canLearnFromPeers(Instant now) const;
     void install(const AcceptedConfig& config);
     void tickMembership(Instant now);
     void pollVmList(Instant now);
--- a/testing/protocol/virtual_node.cc
+++ b/testing/protocol/virtual_node.cc
@@ -50,7 +50,12 @@
     start();
 }
 
-void VirtualNode::start() { state_ = std::make_shared<State>(name_, std::to_string(++incarnation_)); }
+void VirtualNode::start()
+{
+    state_ = std::make_shared<State>(name_, std::to_string(++incarnation_));
+    // One of the nodes reads the store only when its peers' proofs are old.
+    state_->config.setLearnsFromPeers(name_ == "n2");
+}
 
 void VirtualNode::pause(Millis length) { pausedUntil_ = std::max(pausedUntil_, time_.now() + length); }
 
