Measure the decisions against their rivals, and count own prefill since the report

Cause: make bench had no table of decisions. Change: an endpoint's waiting prefill is what it reported, less what it has done since, plus what was dispatched from here since. The routing test said that a warm engine wins at once after a dispatch; with the prompt still waiting that is no longer true, so it now checks that nothing is gained until the next report, and the old check stands after it.

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,9 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure --timeout 600 -j3
 
-# Slopes by microbenchmarks, and the costs of real processes against a bare reply.
+# Decisions against their rivals, slopes by microbenchmarks, and the costs of real processes against a bare reply.
 bench: build
+	$(BUILD)/bench/decisions
 	$(BUILD)/bench/micro_benchmarks --benchmark_min_time=0.2
 	$(BUILD)/bench/process_costs
 
--- a/ragwortwinch/routing/endpoint_state.cc
+++ b/ragwortwinch/routing/endpoint_state.cc
@@ -21,6 +21,7 @@
     reportedPieces_.store(report.piecesUsed);
     reportedTotal_.store(report.piecesTotal);
     queuedPrefill_.store(report.queuedPrefillTokens);
+    dispatchedPrefill_.store(0);
     std::uint64_t known = incarnation_.exchange(report.incarnation);
     if (report.isLeaving)
         isLeaving_.store(true);
--- a/ragwortwinch/routing/endpoint_state.h
+++ b/ragwortwinch/routing/endpoint_state.h
@@ -56,7 +56,9 @@
     std::int64_t piecesTotal(std::int64_t fallback) const;
     std::int64_t ownRunning() const { return ownRunning_.load(); }
     std::int64_t ownPieces() const { return ownPieces_.load(); }
-    std::int64_t queuedPrefillTokens() const { return queuedPrefill_.load(); }
+    // Tokens that wait for prefill by the last report, and those dispatched from here since.
+    std::int64_t queuedPrefillTokens() const { return queuedPrefill_.load() + dispatchedPrefill_.load(); }
+    void addDispatchedPrefill(std::int64_t tokens) { dispatchedPrefill_.fetch_add(tokens); }
 
     void reserve(std::int64_t pieces);
     void unreserve(std::int64_t pieces);
@@ -70,6 +72,7 @@
     std::atomic<std::int64_t> reportedRunning_{0};
     std::atomic<std::int64_t> reportedPieces_{0};
     std::atomic<std::int64_t> reportedTotal_{0};
+    std::atomic<std::int64_t> dispatchedPrefill_{0};
     std::atomic<std::int64_t> queuedPrefill_{0};
     std::atomic<std::int64_t> reportedAt_{INT64_MIN / 2};
     std::atomic<std::uint64_t> incarnation_{0};
--- a/ragwortwinch/routing/router.h
+++ b/ragwortwinch/routing/router.h
@@ -36,7 +36,7 @@
         const Limits& limits, Instant now)
         = 0;
     // Told of each dispatch, to learn what the endpoint's cache will hold.
-    virtual void onDispatched(const RouteQuery&, const EndpointState&) { }
+    virtual void onDispatched(const RouteQuery&, EndpointState&) { }
 };
 
 // True when the endpoint is usable and has room for the query.
--- a/ragwortwinch/routing/routing_test.cc
+++ b/ragwortwinch/routing/routing_test.cc
@@ -78,6 +78,9 @@
     RouteQuery query = queryOf(6400, 10);
     query.prefixes = hashPrefixes(std::string(6400 * 4, 'x'), 256, 100);
     router.onDispatched(query, *warm);
+    // Until the next report the dispatched prompt counts as waiting for prefill, so there is nothing to gain.
+    CHECK(router.score(query, *warm, now) >= router.score(query, *cold, now));
+    warm->setReport(now, {1, 0, 2000, 0, false, "mixed", 1});
     CHECK(router.choose(query, {cold, warm}, Limits(), now) == warm);
     warm->setReport(now, {0, 0, 2000, 12000, false, "mixed", 1});
     CHECK(router.choose(query, {cold, warm}, Limits(), now) == cold);
--- a/ragwortwinch/routing/scoring_router.cc
+++ b/ragwortwinch/routing/scoring_router.cc
@@ -10,14 +10,20 @@
 {
 }
 
-double ScoringRouter::score(const RouteQuery& query, const EndpointState& endpoint, Instant now) const
+double ScoringRouter::uncachedTokens(const RouteQuery& query, const EndpointState& endpoint) const
 {
     double cached = static_cast<double>(prefixes_.match(endpoint.name(), query.prefixes))
         * static_cast<double>(prefixBlockTokens);
-    double toPrefill = std::max(0.0, static_cast<double>(query.promptTokens) - cached)
-        + static_cast<double>(endpoint.queuedPrefillTokens());
-    double prefillMillis = toPrefill / options_.prefillRate * 1000;
+    return std::max(0.0, static_cast<double>(query.promptTokens) - cached);
+}
+
+double ScoringRouter::score(const RouteQuery& query, const EndpointState& endpoint, Instant now) const
+{
     double ageSeconds = std::clamp(static_cast<double>(endpoint.reportAge(now).count()) / 1000, 0.0, 10.0);
+    // The engine has gone on prefilling since the report.
+    double queuedTokens = std::max(
+        0.0, static_cast<double>(endpoint.queuedPrefillTokens()) - ageSeconds * options_.prefillRate);
+    double prefillMillis = (uncachedTokens(query, endpoint) + queuedTokens) / options_.prefillRate * 1000;
     double queueMillis = static_cast<double>(endpoint.running()) * options_.runningMillis * (1 + ageSeconds);
     double wayMillis = 0;
     if (endpoint.rule().region != options_.region) {
@@ -45,8 +51,9 @@
     return best;
 }
 
-void ScoringRouter::onDispatched(const RouteQuery& query, const EndpointState& endpoint)
+void ScoringRouter::onDispatched(const RouteQuery& query, EndpointState& endpoint)
 {
+    endpoint.addDispatchedPrefill(static_cast<std::int64_t>(uncachedTokens(query, endpoint)));
     prefixes_.add(endpoint.name(), query.prefixes);
 }
 
--- a/ragwortwinch/routing/scoring_router.h
+++ b/ragwortwinch/routing/scoring_router.h
@@ -34,7 +34,9 @@
 
     EndpointPointer choose(const RouteQuery& query, const std::vector<EndpointPointer>& candidates,
         const Limits& limits, Instant now) override;
-    void onDispatched(const RouteQuery& query, const EndpointState& endpoint) override;
+    void onDispatched(const RouteQuery& query, EndpointState& endpoint) override;
+    // Prompt tokens that the endpoint's cache does not hold, as far as known.
+    double uncachedTokens(const RouteQuery& query, const EndpointState& endpoint) const;
     // The estimated delay in milliseconds; lower is better.
     double score(const RouteQuery& query, const EndpointState& endpoint, Instant now) const;
 
