--- a/ragwortwinch/fleet/order_journal.cc
+++ b/ragwortwinch/fleet/order_journal.cc
@@ -61,21 +61,21 @@
     if (pendingOp_ != 0 || now < nextTry_)
         return {};
     if (phase_ == Phase::Reading || phase_ == Phase::Doubtful)
-        return read(now);
+        return read();
     bool hasNew = std::any_of(staged_.begin(), staged_.end(),
         [this](const EndpointOrder& order) { return !isUnfinished(order.endpoint); });
     if (phase_ == Phase::Ready && (needsWrite_ || hasNew))
-        return write(now);
+        return write();
     return {};
 }
 
-StoreOps OrderJournal::read(Instant)
+StoreOps OrderJournal::read()
 {
     pendingOp_ = ids_.next();
     return {StoreOp::get(pendingOp_, key())};
 }
 
-StoreOps OrderJournal::write(Instant)
+StoreOps OrderJournal::write()
 {
     // An order that was queued before an older read of the journal turned out to be one waits for what that
     // hid.
--- a/ragwortwinch/fleet/order_journal.h
+++ b/ragwortwinch/fleet/order_journal.h
@@ -70,8 +70,8 @@
 
     std::string key() const { return "orders/" + zone_; }
     bool isUnfinished(const std::string& endpoint) const;
-    StoreOps read(Instant now);
-    StoreOps write(Instant now);
+    StoreOps read();
+    StoreOps write();
     void load(const std::string& text);
     std::string serialize();
     void onReadAnswer(Instant now, const StoreAnswer& answer);
--- a/ragwortwinch/membership/membership_test.cc
+++ b/ragwortwinch/membership/membership_test.cc
@@ -19,7 +19,6 @@
     digest.isStoreDown = true;
     digest.leavingEndpoints = {{"brew-1", 5}};
     digest.shares = {{"brew-2", 4, 900}};
-    digest.teamRunning = {{"riders", 6}};
     return digest;
 }
 
@@ -50,7 +49,6 @@
     CHECK(digest->echo == 11);
     CHECK(digest->leavingEndpoints.at("brew-1") == 5);
     CHECK(digest->shares.at(0).pieces == 900);
-    CHECK(digest->teamRunning.at("riders") == 6);
 }
 
 TEST_CASE("a frame of four gigabytes, or of another protocol, breaks the connection and allocates nothing")
--- a/ragwortwinch/membership/peer_digest.h
+++ b/ragwortwinch/membership/peer_digest.h
@@ -29,8 +29,6 @@
     // Endpoints that the sender knows to be leaving, with their incarnation.
     std::map<std::string, std::uint64_t> leavingEndpoints;
     std::vector<EndpointShare> shares;
-    // Running requests of teams that are close to a limit.
-    std::map<std::string, std::int64_t> teamRunning;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/membership/peer_message.cc
+++ b/ragwortwinch/membership/peer_message.cc
@@ -97,7 +97,6 @@
         entry.pieces = share.take<std::int64_t>();
         digest.shares.push_back(std::move(entry));
     }
-    digest.teamRunning = reader.take<std::map<std::string, std::int64_t>>();
     return digest;
 }
 
@@ -133,7 +132,7 @@
 {
     msgpack::sbuffer buffer;
     Packer packer(buffer);
-    packer.pack_array(9);
+    packer.pack_array(8);
     packVm(packer, digest.sender);
     packer.pack(digest.sequence);
     packer.pack(digest.echo);
@@ -148,7 +147,6 @@
         packer.pack(share.running);
         packer.pack(share.pieces);
     }
-    packer.pack(digest.teamRunning);
     return encodeFrame(PeerMessageKind::Digest, std::string_view(buffer.data(), buffer.size()));
 }
 
