Test a sender that stops in the middle of a request

Cause: bad input was tested but for the slow sender. Ruled out: a shorter bound for the test only (the product's 30 s is what callers meet). Change: one case; it waits for the server's close.

--- a/testing/process/input_process_test.cc
+++ b/testing/process/input_process_test.cc
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
+#include <future>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -76,5 +77,16 @@
     CHECK(system.admin(0, "GET", "/dump")["broken_invariants"] == 0);
 }
 
+TEST_CASE("a sender that stops in the middle of a request is told so and let go, while others are served")
+{
+    TestSystem system({.nodes = 1, .engines = 1, .services = 1});
+    std::uint16_t port = system.nodes[0]->port("entry_port");
+    std::future<std::string> slow = std::async(std::launch::async, [port] {
+        return exchangeRaw(port, "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 50\r\n\r\n{");
+    });
+    CHECK(system.chat(0, "meanwhile", 3).status == 200);
+    CHECK(slow.get().find("bad_request") != std::string::npos);
+}
+
 } // namespace
 } // namespace ragwortwinch::process
