--- a/ragwortwinch/base/log_event.cc
+++ b/ragwortwinch/base/log_event.cc
@@ -1,11 +1,36 @@
 #include "ragwortwinch/base/log_event.h"
 
-#include <glog/logging.h>
+#include "ragwortwinch/base/log_writer.h"
+#include "ragwortwinch/base/name_table.h"
+
+#include <atomic>
+#include <ctime>
+#include <unistd.h>
 
 namespace ragwortwinch {
 
 namespace {
 
+constexpr int flushMillis = 100;
+
+constexpr NameTable<Severity, 3> severityNames{{{
+    {Severity::Info, "info"},
+    {Severity::Warning, "warning"},
+    {Severity::Error, "error"},
+}}};
+
+// Never destroyed: threads may log until the process ends.
+std::atomic<LogWriter*> logWriter{nullptr};
+std::atomic<Severity> leastSeverity{Severity::Info};
+
+std::string timeText()
+{
+    timespec now{};
+    clock_gettime(CLOCK_REALTIME, &now);
+    std::string millis = std::to_string(now.tv_nsec / 1000000);
+    return "t=" + std::to_string(now.tv_sec) + '.' + std::string(3 - millis.size(), '0') + millis;
+}
+
 bool needsQuotes(std::string_view value)
 {
     if (value.empty())
@@ -46,19 +71,10 @@
 
 LogEvent::~LogEvent()
 {
-    if (static_cast<int>(severity_) < FLAGS_minloglevel)
+    LogWriter* writer = logWriter.load(std::memory_order_acquire);
+    if (!writer || severity_ < leastSeverity.load(std::memory_order_relaxed))
         return;
-    switch (severity_) {
-    case Severity::Info:
-        LOG(INFO) << line_;
-        break;
-    case Severity::Warning:
-        LOG(WARNING) << line_;
-        break;
-    case Severity::Error:
-        LOG(ERROR) << line_;
-        break;
-    }
+    writer->write(timeText() + " level=" + std::string(severityNames.name(severity_)) + ' ' + line_);
 }
 
 LogEvent& LogEvent::with(std::string_view key, std::string_view value)
@@ -73,10 +89,23 @@
     return *this;
 }
 
-void startLogging(const char* program)
+void startLogging(Severity least)
+{
+    leastSeverity.store(least);
+    if (!logWriter.load())
+        logWriter.store(new LogWriter(STDOUT_FILENO));
+}
+
+void flushLogs()
+{
+    if (LogWriter* writer = logWriter.load())
+        writer->flush(flushMillis);
+}
+
+std::uint64_t droppedLogLines()
 {
-    FLAGS_logtostderr = true;
-    google::InitGoogleLogging(program);
+    LogWriter* writer = logWriter.load();
+    return writer ? writer->droppedLines() : 0;
 }
 
 } // namespace ragwortwinch
--- a/ragwortwinch/base/log_event.h
+++ b/ragwortwinch/base/log_event.h
@@ -1,4 +1,5 @@
-// One line of key=value pairs for one event, written through glog when the object dies.
+// One line of key=value pairs for one event, written to standard output when the object dies. Writing never
+// blocks: see log_writer.h.
 //
 //     LogEvent("lease.acquired").with("duty", duty).with("epoch", epoch);
 #pragma once
@@ -40,7 +41,13 @@
     Severity severity_;
 };
 
-// Starts glog on the error stream with the program's name.
-void startLogging(const char* program);
+// Starts to write events of `least` and above to standard output. Without it events go nowhere.
+void startLogging(Severity least = Severity::Info);
+
+// Waits a moment until queued lines are written; for the end of a process.
+void flushLogs();
+
+// Lines that were dropped because the reader was too slow.
+std::uint64_t droppedLogLines();
 
 } // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/config/traffic_table.h
@@ -0,0 +1,44 @@
+// Finds the route and the team of a request in a traffic configuration.
+//
+//     TrafficTable table(std::move(config));
+//     const TrafficRoute* route = table.findRoute("api.example", "/chat/1");
+//     const TrafficTeam* team = table.findTeam(key);
+//
+// Immutable, so safe to share between threads.
+#pragma once
+
+#include "ragwortwinch/config/traffic_config.h"
+
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace ragwortwinch {
+
+class TrafficTable {
+public:
+    explicit TrafficTable(TrafficConfig config);
+    TrafficTable(const TrafficTable&) = delete;
+    TrafficTable& operator=(const TrafficTable&) = delete;
+
+    // Returns the host's route with the longest prefix of `path`, or null. A port in `host` is ignored.
+    const TrafficRoute* findRoute(std::string_view host, std::string_view path) const;
+    // Returns the team that holds `key`, or null. Only hashes of keys are compared.
+    const TrafficTeam* findTeam(std::string_view key) const;
+    const ServiceRule* findService(const std::string& name) const;
+
+    const TrafficConfig& config() const { return config_; }
+    std::uint64_t version() const { return config_.version; }
+    // True when requests need a key, unless their route is open.
+    bool hasTeams() const { return !config_.teams.empty(); }
+
+private:
+    TrafficConfig config_;
+    // Of each host in lower case, the longest prefix first.
+    std::unordered_map<std::string, std::vector<const TrafficRoute*>> routes_;
+    std::unordered_map<std::string, const TrafficTeam*> teams_;
+    std::unordered_map<std::string, const ServiceRule*> services_;
+};
+
+} // namespace ragwortwinch
--- a/ragwortwinch/fleet/order_sender.cc
+++ b/ragwortwinch/fleet/order_sender.cc
@@ -20,6 +20,12 @@
     return 0;
 }
 
+// Called once the connection stands, right before the request leaves.
+int checkAuthority(void* fuse, char*, char*, int, int)
+{
+    return static_cast<AuthorityFuse*>(fuse)->hasAuthority() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 std::size_t discardBody(char*, std::size_t size, std::size_t count, void*) { return size * count; }
 
 SendOutcome toOutcome(CURLcode code, long status)
@@ -108,6 +114,8 @@
     curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, &fuse);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, closeFusedSocket);
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &fuse);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, checkAuthority);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &fuse);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, discardBody);
     CURLcode code = curl_easy_perform(easy);
     long status = 0;
--- /dev/null
+++ b/ragwortwinch/forward/attempt.cc
@@ -0,0 +1,258 @@
+#include "ragwortwinch/forward/attempt.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+namespace ragwortwinch {
+
+namespace http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+constexpr int statusMisdirected = 421;
+// The header of an answer may be this long.
+constexpr std::uint32_t maxReplyHeaderBytes = 64 * 1024;
+// More late answers than this on one connection, and it is of no use.
+constexpr int maxStrayAnswers = 4;
+
+std::string_view toView(boost::beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+Attempt::Attempt(boost::asio::io_context& context, ChannelPool& pool, const RequestCodec& codec,
+    const Clock& clock, UpstreamPointer endpoint, AttemptOptions options, AttemptListener& listener)
+    : context_(context)
+    , pool_(pool)
+    , codec_(codec)
+    , clock_(clock)
+    , endpoint_(std::move(endpoint))
+    , options_(std::move(options))
+    , listener_(&listener)
+    , timer_(context)
+{
+}
+
+void Attempt::start(std::string head, std::shared_ptr<const std::string> body)
+{
+    head_ = std::move(head);
+    body_ = std::move(body);
+    ++endpoint_->running;
+    if (options_.maxIdlePart > 0)
+        channel_ = pool_.take(endpoint_, clock_.now(), options_.maxIdlePart);
+    if (channel_) {
+        usedKeptChannel_ = true;
+        send();
+    } else
+        connect();
+}
+
+void Attempt::connect()
+{
+    channel_ = std::make_shared<EndpointChannel>(context_, endpoint_);
+    armTimer(options_.connectTimeout, AttemptEnd::NotConnected);
+    channel_->socket().async_connect(
+        endpoint_->socketAddress, [self = shared_from_this()](const ErrorCode& error) {
+            if (self->isEnded_)
+                return;
+            if (error) {
+                self->end(AttemptEnd::NotConnected);
+                return;
+            }
+            self->channel_->configure();
+            self->send();
+        });
+}
+
+void Attempt::armTimer(Millis bound, AttemptEnd reason)
+{
+    std::uint64_t generation = ++timerGeneration_;
+    if (bound.count() <= 0) {
+        timer_.cancel();
+        return;
+    }
+    timer_.expires_after(bound);
+    timer_.async_wait([self = shared_from_this(), generation, reason](const ErrorCode& error) {
+        if (!error && !self->isEnded_ && generation == self->timerGeneration_)
+            self->end(reason);
+    });
+}
+
+void Attempt::send()
+{
+    mayHaveBeenSent_ = true;
+    armTimer(options_.firstByteTimeout, AttemptEnd::Silent);
+    std::array<boost::asio::const_buffer, 2> parts{boost::asio::buffer(head_), boost::asio::buffer(*body_)};
+    boost::asio::async_write(channel_->socket(), parts,
+        [self = shared_from_this(), channel = channel_](const ErrorCode& error, std::size_t) {
+            if (self->isEnded_)
+                return;
+            // An endpoint may answer and close before it has read everything: its answer decides.
+            if (!error)
+                self->isWritten_ = true;
+        });
+    readHead();
+}
+
+void Attempt::readHead()
+{
+    parser_.emplace();
+    parser_->header_limit(maxReplyHeaderBytes);
+    parser_->body_limit(boost::none);
+    if (options_.isHead)
+        parser_->skip(true);
+    refusal_.reset();
+    isStray_ = false;
+    http::async_read_header(channel_->socket(), channel_->buffer(), *parser_,
+        [self = shared_from_this(), channel = channel_](
+            const ErrorCode& error, std::size_t) { self->onHead(error); });
+}
+
+bool Attempt::belongsToRequest(const EndpointReply& reply) const
+{
+    return reply.requestId == options_.requestId;
+}
+
+void Attempt::onHead(const ErrorCode& error)
+{
+    if (isEnded_)
+        return;
+    if (error) {
+        end(AttemptEnd::Broken);
+        return;
+    }
+    const http::response_header<>& header = parser_->get().base();
+    if (header.result_int() / 100 == 1) {
+        readHead();
+        return;
+    }
+    reply_ = codec_.decodeReply(header);
+    // A refusal to a request that was not understood carries no id; on a new connection it can only be ours.
+    bool isOwnRefusal = reply_.requestId.empty() && !usedKeptChannel_ && strayAnswers_ == 0
+        && (reply_.isNotExecuted || header.result_int() == statusMisdirected);
+    isStray_ = !belongsToRequest(reply_) && !isOwnRefusal;
+    if (isStray_ && (reply_.requestId.empty() || ++strayAnswers_ > maxStrayAnswers)) {
+        end(AttemptEnd::Broken);
+        return;
+    }
+    if (!isStray_) {
+        if (header.result_int() == statusMisdirected)
+            refusal_ = AttemptEnd::Misdirected;
+        else if (reply_.isNotExecuted)
+            refusal_ = AttemptEnd::NotExecuted;
+        else
+            listener_->onReplyHead(static_cast<int>(header.result_int()), toView(header.reason()), header);
+        if (isEnded_)
+            return;
+    }
+    parser_->eager(true);
+    armTimer(options_.gapTimeout, AttemptEnd::Silent);
+    if (parser_->is_done())
+        finishAnswer();
+    else
+        readBody();
+}
+
+void Attempt::readBody()
+{
+    http::async_read_some(channel_->socket(), channel_->buffer(), *parser_,
+        [self = shared_from_this(), channel = channel_](
+            const ErrorCode& error, std::size_t) { self->onBody(error); });
+}
+
+void Attempt::onBody(const ErrorCode& error)
+{
+    if (isEnded_)
+        return;
+    if (error) {
+        // What arrived before the break is the caller's all the same.
+        std::string piece = std::move(parser_->get().body());
+        if (!isStray_ && !refusal_ && !piece.empty())
+            listener_->onReplyBody(std::move(piece));
+        if (!isEnded_)
+            end(AttemptEnd::Broken);
+        return;
+    }
+    deliver();
+}
+
+void Attempt::deliver()
+{
+    std::string piece;
+    piece.swap(parser_->get().body());
+    if (isStray_ || refusal_ || piece.empty()) {
+        resume();
+        return;
+    }
+    armTimer(Millis(0), AttemptEnd::Silent);
+    listener_->onReplyBody(std::move(piece));
+}
+
+void Attempt::resume()
+{
+    if (isEnded_)
+        return;
+    // The listener may drop its reference at the end.
+    std::shared_ptr<Attempt> self = shared_from_this();
+    if (parser_->is_done()) {
+        finishAnswer();
+        return;
+    }
+    armTimer(options_.gapTimeout, AttemptEnd::Silent);
+    readBody();
+}
+
+void Attempt::finishAnswer()
+{
+    bool isReusable = parser_->get().keep_alive() && !parser_->get().need_eof();
+    if (isStray_) {
+        if (!isReusable) {
+            end(AttemptEnd::Broken);
+            return;
+        }
+        armTimer(options_.firstByteTimeout, AttemptEnd::Silent);
+        readHead();
+        return;
+    }
+    if (isReusable && isWritten_ && channel_->buffer().size() == 0) {
+        channel_->keepAlive = reply_.keepAlive.value_or(Millis(0));
+        ++channel_->answers;
+        releaseChannel();
+    }
+    end(refusal_.value_or(AttemptEnd::Complete));
+}
+
+void Attempt::releaseChannel()
+{
+    ChannelPointer channel;
+    channel.swap(channel_);
+    pool_.give(channel, clock_.now());
+}
+
+void Attempt::end(AttemptEnd reason)
+{
+    if (isEnded_)
+        return;
+    AttemptListener* listener = listener_;
+    cancel();
+    listener->onAttemptEnd(reason);
+}
+
+void Attempt::cancel()
+{
+    if (isEnded_)
+        return;
+    isEnded_ = true;
+    listener_ = nullptr;
+    timer_.cancel();
+    --endpoint_->running;
+    if (channel_)
+        channel_->reset();
+    channel_.reset();
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/caller_session.cc
@@ -0,0 +1,399 @@
+#include "ragwortwinch/forward/caller_session.h"
+
+#include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/forward/internal/own_reply.h"
+#include "ragwortwinch/forward/internal/socket_options.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+namespace ragwortwinch {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr int statusBadRequest = 400;
+constexpr int statusTimeout = 408;
+constexpr int statusTooLarge = 413;
+constexpr int statusHeaderTooLarge = 431;
+constexpr int statusUnavailable = 503;
+// A body as large as allowed, over a slow link.
+constexpr Millis bodyTimeout{10000};
+// How long a connection that is closed after an error takes what the caller still sends.
+constexpr Millis lingerTime{300};
+constexpr std::size_t lingerBytes = 4096;
+
+std::string chunk(std::string_view bytes)
+{
+    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
+}
+
+} // namespace
+
+CallerSession::CallerSession(
+    ForwardContext& context, SessionOwner& owner, boost::asio::ip::tcp::socket socket)
+    : context_(context)
+    , owner_(owner)
+    , socket_(std::move(socket))
+    , timer_(context.io)
+{
+}
+
+CallerSession::~CallerSession()
+{
+    releaseHeld();
+}
+
+void CallerSession::start()
+{
+    internal::setStreamOptions(socket_);
+    waitForRequest();
+}
+
+CallerLimits CallerSession::limits() const
+{
+    std::shared_ptr<const TrafficTable> traffic = *context_.traffic.read();
+    return traffic ? traffic->config().limits : CallerLimits{};
+}
+
+void CallerSession::waitForRequest()
+{
+    state_ = State::Idle;
+    request_.reset();
+    parser_.reset();
+    if (buffer_.size() != 0) {
+        readRequest();
+        return;
+    }
+    armTimer(limits().idleTimeout, [this] { close(); });
+    watch();
+}
+
+void CallerSession::watch()
+{
+    if (isWatching_ || state_ == State::Closed)
+        return;
+    isWatching_ = true;
+    socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+        [self = shared_from_this()](const ErrorCode& error) {
+            self->isWatching_ = false;
+            self->onReadable(error);
+        });
+}
+
+void CallerSession::onReadable(const ErrorCode& error)
+{
+    if (state_ == State::Closed || state_ == State::Reading || state_ == State::Closing)
+        return;
+    if (state_ == State::Idle) {
+        if (error)
+            close();
+        else
+            readRequest();
+        return;
+    }
+    char byte = 0;
+    ssize_t size = error ? -1 : recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    bool isOpen = size > 0 || (size < 0 && !error && (errno == EAGAIN || errno == EWOULDBLOCK));
+    if (!isOpen) {
+        onCallerGone();
+        return;
+    }
+    // The next request of a caller that doesn't wait for answers is read after this one.
+    if (size < 0)
+        watch();
+}
+
+void CallerSession::onCallerGone()
+{
+    if (exchange_)
+        exchange_->cancel();
+    exchange_.reset();
+    close();
+}
+
+void CallerSession::readRequest()
+{
+    state_ = State::Reading;
+    CallerLimits bounds = limits();
+    parser_.emplace();
+    parser_->header_limit(bounds.maxHeaderBytes);
+    parser_->body_limit(bounds.maxBodyBytes);
+    armTimer(bounds.headerTimeout, [this] {
+        rejectInput(statusTimeout, ErrorKind::BadRequest, "the header took too long; the request was not run");
+    });
+    http::async_read_header(socket_, buffer_, *parser_,
+        [self = shared_from_this()](const ErrorCode& error, std::size_t) { self->onHeader(error); });
+}
+
+// Returns what is wrong with a header that the parser accepts, or an empty text.
+std::string CallerSession::inputProblem() const
+{
+    const http::request_header<>& header = parser_->get().base();
+    if (header.target().empty() || header.target().front() != '/')
+        return "the target must be a path";
+    auto encoding = header.find(http::field::transfer_encoding);
+    if (encoding != header.end() && !boost::beast::iequals(encoding->value(), "chunked"))
+        return "a body must have a length or come in chunks";
+    if (header.count(http::field::transfer_encoding) > 1 || header.count(http::field::content_length) > 1)
+        return "the length of the body is given twice";
+    if (header.count(http::field::host) != 1)
+        return "exactly one Host is needed";
+    return {};
+}
+
+void CallerSession::onHeader(const ErrorCode& error)
+{
+    if (state_ != State::Reading)
+        return;
+    if (error) {
+        if (error == http::error::header_limit)
+            rejectInput(statusHeaderTooLarge, ErrorKind::TooLarge, "the header is longer than allowed");
+        else if (error == http::error::body_limit)
+            rejectInput(statusTooLarge, ErrorKind::TooLarge, "the body is longer than allowed");
+        else if (error.category() == http::make_error_code(http::error::bad_method).category()
+            && error != http::error::end_of_stream && error != http::error::partial_message)
+            rejectInput(statusBadRequest, ErrorKind::BadRequest,
+                "the request can't be understood: " + error.message());
+        else
+            close();
+        return;
+    }
+    std::string problem = inputProblem();
+    if (!problem.empty()) {
+        rejectInput(statusBadRequest, ErrorKind::BadRequest, problem);
+        return;
+    }
+    std::size_t expected = static_cast<std::size_t>(parser_->content_length().value_or(0));
+    if (!owner_.reserve(expected)) {
+        rejectInput(statusUnavailable, ErrorKind::NoCapacity,
+            "this VM holds too many requests; this one was not run, use another VM or try again");
+        return;
+    }
+    heldBytes_ = expected;
+    if (parser_->is_done()) {
+        run();
+        return;
+    }
+    armTimer(bodyTimeout, [this] {
+        rejectInput(statusTimeout, ErrorKind::BadRequest, "the body took too long; the request was not run");
+    });
+    if (boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+        write("HTTP/1.1 100 Continue\r\n\r\n", [self = shared_from_this()] { self->readBody(); });
+        return;
+    }
+    readBody();
+}
+
+void CallerSession::readBody()
+{
+    http::async_read(socket_, buffer_, *parser_,
+        [self = shared_from_this()](const ErrorCode& error, std::size_t) { self->onBody(error); });
+}
+
+void CallerSession::onBody(const ErrorCode& error)
+{
+    if (state_ != State::Reading)
+        return;
+    if (error == http::error::body_limit) {
+        rejectInput(statusTooLarge, ErrorKind::TooLarge, "the body is longer than allowed");
+        return;
+    }
+    if (error) {
+        bool isMalformed = error.category() == http::make_error_code(http::error::bad_method).category()
+            && error != http::error::partial_message && error != http::error::end_of_stream;
+        if (isMalformed)
+            rejectInput(statusBadRequest, ErrorKind::BadRequest, "the body can't be understood");
+        else
+            close();
+        return;
+    }
+    run();
+}
+
+void CallerSession::run()
+{
+    state_ = State::Running;
+    armTimer(Millis(0), nullptr);
+    http::request<http::string_body> message = parser_->release();
+    parser_.reset();
+    std::shared_ptr<ForwardRequest> request = std::make_shared<ForwardRequest>();
+    request->method = std::string(message.method_string());
+    request->target = std::string(message.target());
+    request->isOldHttp = message.version() < 11;
+    request->wantsKeepAlive = message.keep_alive();
+    request->body = std::move(message.body());
+    request->fields = std::move(static_cast<HttpFields&>(message.base()));
+    request->caller = context_.codec.decodeRequest(request->fields);
+    mustClose_ = !request->wantsKeepAlive;
+    request_ = std::move(request);
+    watch();
+    exchange_ = std::make_shared<Exchange>(
+        context_, request_, static_cast<ReplySink&>(*this), [this] { exchange_.reset(); });
+    std::shared_ptr<Exchange> exchange = exchange_;
+    exchange->start();
+}
+
+std::string CallerSession::connectionField() const
+{
+    if (mustClose_ || owner_.isDraining())
+        return "Connection: close\r\n";
+    return request_ && request_->isOldHttp ? "Connection: keep-alive\r\n" : "";
+}
+
+void CallerSession::sendWhole(std::string head, std::string body, bool hasNoBody)
+{
+    state_ = State::Answering;
+    if (owner_.isDraining())
+        mustClose_ = true;
+    head += connectionField();
+    head += fmt::format("Content-Length: {}\r\n\r\n", body.size());
+    if (!hasNoBody)
+        head += body;
+    write(std::move(head), [self = shared_from_this()] { self->onAnswered(); });
+}
+
+void CallerSession::beginStream(std::string head, std::string first, std::function<void()> onWritten)
+{
+    state_ = State::Answering;
+    isChunked_ = !request_->isOldHttp;
+    if (owner_.isDraining() || !isChunked_)
+        mustClose_ = true;
+    head += connectionField();
+    if (isChunked_)
+        head += "Transfer-Encoding: chunked\r\n";
+    head += "\r\n";
+    head += isChunked_ ? chunk(first) : first;
+    write(std::move(head), std::move(onWritten));
+}
+
+void CallerSession::writeStream(std::string bytes, std::function<void()> onWritten)
+{
+    write(isChunked_ ? chunk(bytes) : std::move(bytes), std::move(onWritten));
+}
+
+void CallerSession::endStream(std::string last)
+{
+    std::string bytes = std::move(last);
+    if (isChunked_)
+        bytes = (bytes.empty() ? std::string() : chunk(bytes)) + "0\r\n\r\n";
+    write(std::move(bytes), [self = shared_from_this()] { self->onAnswered(); });
+}
+
+void CallerSession::abort()
+{
+    internal::resetSocket(socket_);
+    close();
+}
+
+void CallerSession::write(std::string bytes, std::function<void()> onWritten)
+{
+    outgoing_ = std::move(bytes);
+    isWriting_ = true;
+    boost::asio::async_write(socket_, boost::asio::buffer(outgoing_),
+        [self = shared_from_this(), onWritten = std::move(onWritten)](const ErrorCode& error, std::size_t) {
+            self->isWriting_ = false;
+            if (self->state_ == State::Closed)
+                return;
+            if (error) {
+                self->onCallerGone();
+                return;
+            }
+            onWritten();
+        });
+}
+
+void CallerSession::onAnswered()
+{
+    releaseHeld();
+    if (mustClose_ || owner_.isDraining()) {
+        linger();
+        return;
+    }
+    waitForRequest();
+}
+
+void CallerSession::rejectInput(int status, ErrorKind kind, const std::string& message)
+{
+    Instant now = context_.clock.now();
+    if (context_.log.takeFailure(now))
+        LogEvent("request.bad_input", Severity::Warning).with("status", status).with("problem", message);
+    context_.metrics.onRequestEnd("none", RequestOutcome::Rejected, Millis(0));
+    state_ = State::Answering;
+    mustClose_ = true;
+    armTimer(Millis(0), nullptr);
+    std::string head
+        = internal::ownHead(status, status == statusUnavailable ? context_.options.retryAfter : Millis(0));
+    std::string body = internal::errorBody(kind, message);
+    sendWhole(std::move(head), std::move(body), false);
+}
+
+// Says that no more is coming and takes what the caller still sends: closing with unread bytes would reset
+// the connection under the answer.
+void CallerSession::linger()
+{
+    state_ = State::Closing;
+    ErrorCode ignored;
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    armTimer(lingerTime, [this] { close(); });
+    std::shared_ptr<std::array<char, lingerBytes>> sink = std::make_shared<std::array<char, lingerBytes>>();
+    std::shared_ptr<std::function<void()>> drain = std::make_shared<std::function<void()>>();
+    std::weak_ptr<std::function<void()>> weak = drain;
+    *drain = [self = shared_from_this(), sink, weak] {
+        self->socket_.async_read_some(
+            boost::asio::buffer(*sink), [self, sink, drain = weak.lock()](const ErrorCode& error, std::size_t) {
+                if (error)
+                    self->close();
+                else if (drain)
+                    (*drain)();
+            });
+    };
+    (*drain)();
+}
+
+void CallerSession::closeIfIdle()
+{
+    if (state_ == State::Idle)
+        close();
+}
+
+void CallerSession::armTimer(Millis bound, std::function<void()> onExpired)
+{
+    std::uint64_t generation = ++timerGeneration_;
+    if (bound.count() <= 0) {
+        timer_.cancel();
+        return;
+    }
+    timer_.expires_after(bound);
+    timer_.async_wait([self = shared_from_this(), generation, onExpired = std::move(onExpired)](
+                          const ErrorCode& error) {
+        if (!error && generation == self->timerGeneration_ && self->state_ != State::Closed)
+            onExpired();
+    });
+}
+
+void CallerSession::close()
+{
+    if (state_ == State::Closed)
+        return;
+    std::shared_ptr<CallerSession> self = shared_from_this();
+    state_ = State::Closed;
+    ++timerGeneration_;
+    timer_.cancel();
+    ErrorCode ignored;
+    socket_.close(ignored);
+    releaseHeld();
+    owner_.onSessionEnd(self);
+}
+
+void CallerSession::releaseHeld()
+{
+    owner_.release(heldBytes_);
+    heldBytes_ = 0;
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/caller_session.h
@@ -0,0 +1,105 @@
+// One connection of a caller: reads requests one after the other, has each carried by an exchange, and writes
+// the answers.
+//
+// It watches the connection while a request runs, so that a caller who goes away stops the work at once.
+// Belongs to the forwarding thread.
+#pragma once
+
+#include "ragwortwinch/forward/exchange.h"
+#include "ragwortwinch/forward/forward_context.h"
+#include "ragwortwinch/forward/reply_sink.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace ragwortwinch {
+
+// What a session needs from the server it belongs to.
+class SessionOwner {
+public:
+    virtual ~SessionOwner() = default;
+    virtual void onSessionEnd(const std::shared_ptr<class CallerSession>& session) = 0;
+    // Asks for memory for a body. Returns false when too much is held already.
+    virtual bool reserve(std::size_t bytes) = 0;
+    virtual void release(std::size_t bytes) = 0;
+    // Whether this VM is stopping: connections end after their present request.
+    virtual bool isDraining() const = 0;
+};
+
+class CallerSession final : public std::enable_shared_from_this<CallerSession>, private ReplySink {
+public:
+    CallerSession(ForwardContext& context, SessionOwner& owner, boost::asio::ip::tcp::socket socket);
+    ~CallerSession() override;
+
+    void start();
+    // Closes the connection if no request is under way.
+    void closeIfIdle();
+    bool isIdle() const { return state_ == State::Idle; }
+
+private:
+    enum class State {
+        // Between requests, with nothing read.
+        Idle,
+        Reading,
+        // An exchange has the request.
+        Running,
+        // The answer is being written, or the stream goes on.
+        Answering,
+        Closing,
+        Closed,
+    };
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using ErrorCode = boost::system::error_code;
+
+    void sendWhole(std::string head, std::string body, bool hasNoBody) override;
+    void beginStream(std::string head, std::string first, std::function<void()> onWritten) override;
+    void writeStream(std::string bytes, std::function<void()> onWritten) override;
+    void endStream(std::string last) override;
+    void abort() override;
+
+    CallerLimits limits() const;
+    void waitForRequest();
+    void watch();
+    void onReadable(const ErrorCode& error);
+    void readRequest();
+    void onHeader(const ErrorCode& error);
+    void readBody();
+    void onBody(const ErrorCode& error);
+    void rejectInput(int status, ErrorKind kind, const std::string& message);
+    std::string inputProblem() const;
+    void run();
+    void onCallerGone();
+    void armTimer(Millis bound, std::function<void()> onExpired);
+    std::string connectionField() const;
+    void write(std::string bytes, std::function<void()> onWritten);
+    void onAnswered();
+    void linger();
+    void close();
+    void releaseHeld();
+
+    ForwardContext& context_;
+    SessionOwner& owner_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    std::uint64_t timerGeneration_ = 0;
+    boost::beast::flat_buffer buffer_;
+    std::optional<Parser> parser_;
+    State state_ = State::Idle;
+    bool isWatching_ = false;
+    std::shared_ptr<ForwardRequest> request_;
+    std::shared_ptr<Exchange> exchange_;
+    std::string outgoing_;
+    std::string outgoingBody_;
+    bool isWriting_ = false;
+    bool mustClose_ = false;
+    bool isChunked_ = false;
+    std::size_t heldBytes_ = 0;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/channel_pool.cc
@@ -0,0 +1,51 @@
+#include "ragwortwinch/forward/channel_pool.h"
+
+#include <algorithm>
+
+namespace ragwortwinch {
+
+bool ChannelPool::isFresh(const EndpointChannel& channel, Instant now, double part)
+{
+    Millis life = channel.keepAlive.count() > 0 ? channel.keepAlive : defaultKeepAlive;
+    return std::chrono::duration<double>(now - channel.idleSince) < std::chrono::duration<double>(life) * part;
+}
+
+ChannelPointer ChannelPool::take(const UpstreamPointer& endpoint, Instant now, double maxIdlePart)
+{
+    while (!endpoint->idleChannels.empty()) {
+        ChannelPointer channel = endpoint->idleChannels.back();
+        if (!isFresh(*channel, now, std::min(maxIdlePart, usedIdlePart)))
+            return nullptr;
+        endpoint->idleChannels.pop_back();
+        if (channel->isQuiet())
+            return channel;
+        channel->reset();
+    }
+    return nullptr;
+}
+
+void ChannelPool::give(const ChannelPointer& channel, Instant now)
+{
+    channel->idleSince = now;
+    const UpstreamPointer& endpoint = channel->endpoint();
+    if (endpoint->idleChannels.size() >= maxIdle || !endpoint->isRegistered) {
+        channel->reset();
+        return;
+    }
+    endpoint->idleChannels.push_back(channel);
+}
+
+void ChannelPool::sweep(const std::vector<UpstreamPointer>& endpoints, Instant now)
+{
+    for (const UpstreamPointer& endpoint : endpoints) {
+        std::erase_if(endpoint->idleChannels, [&](const ChannelPointer& channel) {
+            bool isKept
+                = endpoint->isRegistered && isFresh(*channel, now, usedIdlePart) && channel->isQuiet();
+            if (!isKept)
+                channel->reset();
+            return !isKept;
+        });
+    }
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/endpoint_channel.cc
@@ -0,0 +1,40 @@
+#include "ragwortwinch/forward/endpoint_channel.h"
+
+#include "ragwortwinch/forward/internal/socket_options.h"
+
+#include <sys/socket.h>
+
+namespace ragwortwinch {
+
+EndpointChannel::EndpointChannel(boost::asio::io_context& context, UpstreamPointer endpoint)
+    : endpoint_(std::move(endpoint))
+    , socket_(context)
+{
+    ++endpoint_->openChannels;
+}
+
+EndpointChannel::~EndpointChannel()
+{
+    --endpoint_->openChannels;
+}
+
+void EndpointChannel::configure()
+{
+    internal::setStreamOptions(socket_);
+}
+
+bool EndpointChannel::isQuiet()
+{
+    if (!socket_.is_open() || buffer_.size() != 0)
+        return false;
+    char byte = 0;
+    ssize_t size = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void EndpointChannel::reset()
+{
+    internal::resetSocket(socket_);
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/endpoint_directory.cc
@@ -0,0 +1,85 @@
+#include "ragwortwinch/forward/endpoint_directory.h"
+
+#include "ragwortwinch/forward/endpoint_channel.h"
+
+#include <boost/asio/ip/address.hpp>
+
+namespace ragwortwinch {
+
+void EndpointDirectory::update(
+    const std::vector<EndpointRecord>& records, const std::map<std::string, std::string>& regions)
+{
+    std::map<std::pair<std::string, std::int64_t>, UpstreamPointer> next;
+    byService_.clear();
+    for (const EndpointRecord& record : records) {
+        std::pair<std::string, std::int64_t> key(record.id, record.incarnation);
+        auto known = endpoints_.find(key);
+        UpstreamPointer endpoint
+            = known != endpoints_.end() ? known->second : std::make_shared<UpstreamEndpoint>();
+        if (endpoint->record.address != record.address)
+            endpoint->isMisdirected = false;
+        endpoint->record = record;
+        auto region = regions.find(record.availabilityZone);
+        endpoint->region = region == regions.end() ? std::string() : region->second;
+        boost::system::error_code ignored;
+        endpoint->socketAddress = {
+            boost::asio::ip::make_address(record.address.host, ignored), record.address.port};
+        next[key] = endpoint;
+        byService_[record.service].push_back(endpoint);
+    }
+    for (const auto& [key, endpoint] : endpoints_) {
+        if (next.contains(key))
+            continue;
+        endpoint->isRegistered = false;
+        for (const ChannelPointer& channel : endpoint->idleChannels)
+            channel->reset();
+        endpoint->idleChannels.clear();
+    }
+    endpoints_ = std::move(next);
+}
+
+void EndpointDirectory::setRunningElsewhere(const std::map<std::string, std::int64_t>& running)
+{
+    for (const auto& [key, endpoint] : endpoints_) {
+        auto found = running.find(key.first);
+        endpoint->runningElsewhere = found == running.end() ? 0 : found->second;
+    }
+}
+
+const std::vector<UpstreamPointer>& EndpointDirectory::ofService(const std::string& service) const
+{
+    static const std::vector<UpstreamPointer> none;
+    auto found = byService_.find(service);
+    return found == byService_.end() ? none : found->second;
+}
+
+std::vector<UpstreamPointer> EndpointDirectory::runners(const std::string& service) const
+{
+    std::vector<UpstreamPointer> result;
+    for (const UpstreamPointer& endpoint : ofService(service)) {
+        if (endpoint->record.role != EngineRole::Prefill)
+            result.push_back(endpoint);
+    }
+    return result;
+}
+
+std::vector<UpstreamPointer> EndpointDirectory::prefillers(const std::string& service) const
+{
+    std::vector<UpstreamPointer> result;
+    for (const UpstreamPointer& endpoint : ofService(service)) {
+        if (endpoint->record.role == EngineRole::Prefill)
+            result.push_back(endpoint);
+    }
+    return result;
+}
+
+std::vector<UpstreamPointer> EndpointDirectory::all() const
+{
+    std::vector<UpstreamPointer> result;
+    result.reserve(endpoints_.size());
+    for (const auto& [key, endpoint] : endpoints_)
+        result.push_back(endpoint);
+    return result;
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/endpoint_directory.h
@@ -0,0 +1,39 @@
+// All endpoints that this VM knows, by service.
+//
+//     directory.update(records, regions);
+//     for (const UpstreamPointer& endpoint : directory.ofService("desk")) ...
+//
+// An endpoint that registers again as the same start keeps what was learnt of it. Belongs to the forwarding
+// thread.
+#pragma once
+
+#include "ragwortwinch/forward/upstream_endpoint.h"
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ragwortwinch {
+
+class EndpointDirectory {
+public:
+    // `regions` names the region of each availability zone.
+    void update(const std::vector<EndpointRecord>& records, const std::map<std::string, std::string>& regions);
+    // Requests of other VMs that run on each endpoint, by id.
+    void setRunningElsewhere(const std::map<std::string, std::int64_t>& running);
+
+    const std::vector<UpstreamPointer>& ofService(const std::string& service) const;
+    // The service's endpoints with one of the roles that can run whole requests, or those that only read
+    // prompts.
+    std::vector<UpstreamPointer> runners(const std::string& service) const;
+    std::vector<UpstreamPointer> prefillers(const std::string& service) const;
+    std::vector<UpstreamPointer> all() const;
+
+private:
+    // By id and start.
+    std::map<std::pair<std::string, std::int64_t>, UpstreamPointer> endpoints_;
+    std::map<std::string, std::vector<UpstreamPointer>> byService_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/event_stream.cc
@@ -0,0 +1,84 @@
+#include "ragwortwinch/forward/event_stream.h"
+
+#include <charconv>
+
+namespace ragwortwinch {
+
+namespace {
+
+// Returns the length of the first whole event including its blank line, or 0.
+std::size_t eventLength(std::string_view text)
+{
+    std::size_t start = 0;
+    while (true) {
+        std::size_t end = text.find('\n', start);
+        if (end == std::string_view::npos)
+            return 0;
+        bool isBlank = end == start || (end == start + 1 && text[start] == '\r');
+        if (isBlank)
+            return end + 1;
+        start = end + 1;
+    }
+}
+
+// Returns the value of the event's `id` line, or an empty text.
+std::string_view idOf(std::string_view event)
+{
+    std::size_t start = 0;
+    while (start < event.size()) {
+        std::size_t end = event.find('\n', start);
+        std::string_view line = event.substr(start, end - start);
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        if (line.starts_with("id:")) {
+            line.remove_prefix(3);
+            if (line.starts_with(' '))
+                line.remove_prefix(1);
+            return line;
+        }
+        if (end == std::string_view::npos)
+            break;
+        start = end + 1;
+    }
+    return {};
+}
+
+} // namespace
+
+std::string EventStream::append(std::string_view bytes)
+{
+    rest_ += bytes;
+    std::string ready;
+    std::string_view remaining(rest_);
+    while (std::size_t length = eventLength(remaining)) {
+        std::string_view event = remaining.substr(0, length);
+        if (isNew(event)) {
+            ready += event;
+            ++eventCount_;
+        } else
+            ++droppedEvents_;
+        remaining.remove_prefix(length);
+    }
+    rest_.erase(0, rest_.size() - remaining.size());
+    return ready;
+}
+
+bool EventStream::isNew(std::string_view event)
+{
+    std::string_view id = idOf(event);
+    if (id.empty())
+        return true;
+    std::uint64_t number = 0;
+    std::from_chars_result parsed = std::from_chars(id.data(), id.data() + id.size(), number);
+    bool isNumber = parsed.ec == std::errc() && parsed.ptr == id.data() + id.size();
+    if (isNumber && hasNumber_ && number <= lastNumber_)
+        return false;
+    if (isNumber) {
+        lastNumber_ = number;
+        hasNumber_ = true;
+    }
+    lastId_ = id;
+    return true;
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/exchange.h
@@ -0,0 +1,123 @@
+// Carries one request from admission to its answer: finds route and team, places it, sends it, sends it once
+// more where that is allowed, and relays the answer.
+//
+//     std::shared_ptr<Exchange> exchange = std::make_shared<Exchange>(context, request, sink, onDone);
+//     exchange->start();
+//     exchange->cancel();       // the caller has gone
+//
+// "Not run" (503) is said only when no endpoint can have run the request. Belongs to the forwarding thread.
+#pragma once
+
+#include "ragwortwinch/base/error.h"
+#include "ragwortwinch/forward/attempt.h"
+#include "ragwortwinch/forward/event_stream.h"
+#include "ragwortwinch/forward/forward_context.h"
+#include "ragwortwinch/forward/forward_request.h"
+#include "ragwortwinch/forward/prefill_step.h"
+#include "ragwortwinch/forward/reply_sink.h"
+#include "ragwortwinch/forward/request_outcome.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace ragwortwinch {
+
+class Exchange final : public std::enable_shared_from_this<Exchange>, private AttemptListener {
+public:
+    // `sink` stays valid until `onDone` runs or `cancel` returns.
+    Exchange(ForwardContext& context, std::shared_ptr<ForwardRequest> request, ReplySink& sink,
+        std::function<void()> onDone);
+    ~Exchange() override;
+
+    void start();
+    // Ends it without an answer; endpoints stop working for it.
+    void cancel();
+
+private:
+    // An answer that is held back while a better one is tried for.
+    struct HeldReply {
+        int status = 0;
+        std::string head;
+        std::string body;
+    };
+
+    void onReplyHead(int status, std::string_view reason, const HttpFields& fields) override;
+    void onReplyBody(std::string piece) override;
+    void onAttemptEnd(AttemptEnd end) override;
+
+    bool admit();
+    void armDeadline();
+    void onDeadline();
+    Millis timeLeft() const;
+    void chooseService();
+    bool wantsPrefill() const;
+    std::uint64_t affinityKey() const;
+    PlacementQuery makeQuery() const;
+    void startPrefill();
+    void onPrefillDone(const PrefillResult& result);
+    void place();
+    void send(const UpstreamPointer& endpoint);
+    AttemptOptions attemptOptions() const;
+    std::string makeHead(const ForwardedFields& own) const;
+    ForwardedFields ownFields(const UpstreamPointer& endpoint) const;
+    // Sends once more if the route, the budget and the time allow it.
+    bool tryAgain(bool mayHaveRun);
+    void judge(AttemptEnd end);
+    void afterFailure(AttemptEnd end);
+    void onStreamEnd(AttemptEnd end);
+    void onWholeEnd();
+    void relayEvents(std::string events);
+    void continueStream();
+    void finishWhole(int status, std::string head, std::string body);
+    void refuse(ErrorKind kind, const std::string& message);
+    void reject(int status, ErrorKind kind, const std::string& message);
+    void fail(int status, RequestOutcome outcome, ErrorKind kind, const std::string& message);
+    void sendOwn(int status, ErrorKind kind, const std::string& message, Millis retryAfter);
+    void finish(RequestOutcome outcome, int status);
+    void countUsage();
+    void logEnd(RequestOutcome outcome, int status);
+
+    ForwardContext& context_;
+    std::shared_ptr<ForwardRequest> request_;
+    ReplySink* sink_;
+    std::function<void()> onDone_;
+    std::shared_ptr<const TrafficTable> traffic_;
+    const TrafficRoute* route_ = nullptr;
+    const TrafficTeam* team_ = nullptr;
+    std::string service_;
+    std::shared_ptr<const std::string> body_;
+    Instant startedAt_;
+    Instant deadline_;
+    boost::asio::steady_timer deadlineTimer_;
+
+    std::shared_ptr<Attempt> attempt_;
+    std::shared_ptr<PrefillStep> prefill_;
+    std::string cacheSource_;
+    UpstreamPointer cacheHolder_;
+    std::vector<const UpstreamEndpoint*> tried_;
+    int sends_ = 0;
+    int runs_ = 0;
+    bool mayHaveRun_ = false;
+    bool isUsageCounted_ = false;
+    bool hasPrefilled_ = false;
+    // Of the last attempt, for the log.
+    AttemptEnd lastEnd_ = AttemptEnd::NotConnected;
+    std::string lastEndpoint_;
+
+    int replyStatus_ = 0;
+    std::string replyHead_;
+    std::string replyBody_;
+    bool isEventReply_ = false;
+    std::optional<HeldReply> held_;
+    EventStream events_;
+    bool isStreamStarted_ = false;
+    bool isWriting_ = false;
+    // The attempt ended while bytes were being written to the caller.
+    std::optional<AttemptEnd> pendingEnd_;
+    bool isDone_ = false;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/forward_metrics.cc
@@ -0,0 +1,71 @@
+#include "ragwortwinch/forward/forward_metrics.h"
+
+namespace ragwortwinch {
+
+namespace {
+
+// Milliseconds; from a plain service in the same zone to the longest time limit.
+const prometheus::Histogram::BucketBoundaries latencyBuckets{
+    5, 10, 20, 50, 100, 150, 200, 300, 500, 1000, 2000, 5000, 15000};
+
+prometheus::Family<prometheus::Counter>& counter(
+    prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildCounter().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Family<prometheus::Histogram>& histogram(
+    prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildHistogram().Name(name).Help(help).Register(registry);
+}
+
+prometheus::Gauge& gauge(prometheus::Registry& registry, const char* name, const char* help)
+{
+    return prometheus::BuildGauge().Name(name).Help(help).Register(registry).Add({});
+}
+
+} // namespace
+
+ForwardMetrics::ForwardMetrics(prometheus::Registry& registry)
+    : requests_(counter(registry, "ragwortwinch_requests_total", "Requests by route and outcome"))
+    , attempts_(counter(registry, "ragwortwinch_attempts_total", "Sends to endpoints by service and end"))
+    , repeats_(counter(registry, "ragwortwinch_repeats_total", "Requests sent once more, by service"))
+    , emptyBudgets_(counter(registry, "ragwortwinch_repeat_budget_empty_total",
+          "Requests that were not sent once more because the budget was spent"))
+    , durations_(histogram(
+          registry, "ragwortwinch_request_duration_milliseconds", "From the whole request to the answer's end"))
+    , firstBytes_(histogram(registry, "ragwortwinch_first_byte_milliseconds",
+          "From the whole request to the answer's first byte"))
+    , sessions_(gauge(registry, "ragwortwinch_caller_connections", "Open connections of callers"))
+    , heldBytes_(gauge(registry, "ragwortwinch_held_bytes", "Requests and answers held in memory"))
+{
+}
+
+void ForwardMetrics::onRequestEnd(const std::string& route, RequestOutcome outcome, Millis duration)
+{
+    requests_.Add({{"route", route}, {"outcome", std::string(requestOutcomeNames.name(outcome))}}).Increment();
+    durations_.Add({{"route", route}}, latencyBuckets).Observe(static_cast<double>(duration.count()));
+}
+
+void ForwardMetrics::onFirstByte(const std::string& route, Millis duration)
+{
+    firstBytes_.Add({{"route", route}}, latencyBuckets).Observe(static_cast<double>(duration.count()));
+}
+
+void ForwardMetrics::onAttemptEnd(const std::string& service, AttemptEnd end)
+{
+    attempts_.Add({{"service", service}, {"end", std::string(attemptEndNames.name(end))}}).Increment();
+}
+
+void ForwardMetrics::onRepeat(const std::string& service)
+{
+    repeats_.Add({{"service", service}}).Increment();
+}
+
+void ForwardMetrics::onBudgetEmpty(const std::string& service)
+{
+    emptyBudgets_.Add({{"service", service}}).Increment();
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/forward_metrics.h
@@ -0,0 +1,47 @@
+// Counters and histograms of the forwarding path, in a prometheus-cpp registry.
+//
+//     ForwardMetrics metrics(registry);
+//     metrics.onRequestEnd("chat", RequestOutcome::Answered, Millis(12));
+//
+// Thread-safe.
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+#include "ragwortwinch/forward/attempt.h"
+#include "ragwortwinch/forward/request_outcome.h"
+
+#include <map>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace ragwortwinch {
+
+class ForwardMetrics {
+public:
+    // `registry` outlives the object.
+    explicit ForwardMetrics(prometheus::Registry& registry);
+
+    void onRequestEnd(const std::string& route, RequestOutcome outcome, Millis duration);
+    void onFirstByte(const std::string& route, Millis duration);
+    void onAttemptEnd(const std::string& service, AttemptEnd end);
+    void onRepeat(const std::string& service);
+    void onBudgetEmpty(const std::string& service);
+    void setSessions(std::size_t count) { sessions_.Set(static_cast<double>(count)); }
+    void setHeldBytes(std::size_t bytes) { heldBytes_.Set(static_cast<double>(bytes)); }
+
+private:
+    prometheus::Family<prometheus::Counter>& requests_;
+    prometheus::Family<prometheus::Counter>& attempts_;
+    prometheus::Family<prometheus::Counter>& repeats_;
+    prometheus::Family<prometheus::Counter>& emptyBudgets_;
+    prometheus::Family<prometheus::Histogram>& durations_;
+    prometheus::Family<prometheus::Histogram>& firstBytes_;
+    prometheus::Gauge& sessions_;
+    prometheus::Gauge& heldBytes_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/forward_server.cc
@@ -0,0 +1,170 @@
+#include "ragwortwinch/forward/forward_server.h"
+
+#include "ragwortwinch/base/log_event.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+
+namespace ragwortwinch {
+
+namespace {
+
+// How often idle connections are looked at and the loads told to the peers are renewed.
+constexpr Millis sweepInterval{200};
+// After an accept failed for want of descriptors.
+constexpr Millis acceptPause{50};
+
+} // namespace
+
+ForwardServer::ForwardServer(const RequestCodec& codec, const Clock& clock, const ForwardOptions& options,
+    TrafficSnapshot& traffic, UsageCounter& usage, std::function<std::int64_t()> trueUnixMillis,
+    std::unique_ptr<Placement> placement, ForwardMetrics& metrics)
+    : options_(options)
+    , metrics_(metrics)
+    , placement_(std::move(placement))
+    , context_{io_, codec, clock, options, traffic, usage, std::move(trueUnixMillis), endpoints_, *placement_,
+          metrics, log_}
+    , acceptor_(io_)
+    , sweepTimer_(io_)
+    , acceptTimer_(io_)
+{
+}
+
+ForwardServer::~ForwardServer() = default;
+
+Result<std::uint16_t> ForwardServer::listen(const SocketAddress& address)
+{
+    boost::system::error_code error;
+    boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(address.host, error), address.port);
+    if (!error)
+        acceptor_.open(endpoint.protocol(), error);
+    if (!error)
+        acceptor_.set_option(boost::asio::socket_base::reuse_address(true), error);
+    if (!error)
+        acceptor_.bind(endpoint, error);
+    if (!error)
+        acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (error)
+        return makeError(ErrorKind::BadSettings,
+            fmt::format("can't listen on {} for callers: {}; free the port or change `entry_address`",
+                address.text(), error.message()));
+    return acceptor_.local_endpoint().port();
+}
+
+void ForwardServer::run()
+{
+    accept();
+    scheduleSweep();
+    io_.run();
+}
+
+void ForwardServer::stop()
+{
+    io_.stop();
+}
+
+void ForwardServer::accept()
+{
+    acceptor_.async_accept([this](const boost::system::error_code& error,
+                               boost::asio::ip::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        if (error) {
+            LogEvent("callers.accept_failed", Severity::Warning).with("problem", error.message());
+            acceptTimer_.expires_after(acceptPause);
+            acceptTimer_.async_wait([this](const boost::system::error_code&) { accept(); });
+            return;
+        }
+        if (sessions_.size() >= options_.maxSessions) {
+            LogEvent("callers.too_many", Severity::Warning).with("connections", sessions_.size());
+            boost::system::error_code ignored;
+            socket.close(ignored);
+        } else {
+            std::shared_ptr<CallerSession> session
+                = std::make_shared<CallerSession>(
+                    context_, static_cast<SessionOwner&>(*this), std::move(socket));
+            sessions_.insert(session);
+            session->start();
+        }
+        accept();
+    });
+}
+
+void ForwardServer::onSessionEnd(const std::shared_ptr<CallerSession>& session)
+{
+    sessions_.erase(session);
+}
+
+bool ForwardServer::reserve(std::size_t bytes)
+{
+    if (heldBytes_ + bytes > options_.maxHeldBytes)
+        return false;
+    heldBytes_ += bytes;
+    return true;
+}
+
+void ForwardServer::scheduleSweep()
+{
+    sweepTimer_.expires_after(sweepInterval);
+    sweepTimer_.async_wait([this](const boost::system::error_code& error) {
+        if (error)
+            return;
+        sweep();
+        scheduleSweep();
+    });
+}
+
+void ForwardServer::sweep()
+{
+    std::vector<UpstreamPointer> endpoints = endpoints_.all();
+    context_.pool.sweep(endpoints, context_.clock.now());
+    std::map<std::string, std::int64_t> running;
+    for (const UpstreamPointer& endpoint : endpoints) {
+        if (endpoint->running)
+            running[endpoint->record.id] += endpoint->running;
+    }
+    std::size_t busy = 0;
+    for (const std::shared_ptr<CallerSession>& session : sessions_)
+        busy += session->isIdle() ? 0 : 1;
+    busySessions_.store(busy);
+    metrics_.setSessions(sessions_.size());
+    metrics_.setHeldBytes(heldBytes_);
+    std::lock_guard<std::mutex> lock(runningMutex_);
+    running_ = std::move(running);
+}
+
+std::map<std::string, std::int64_t> ForwardServer::running() const
+{
+    std::lock_guard<std::mutex> lock(runningMutex_);
+    return running_;
+}
+
+void ForwardServer::setEndpoints(std::vector<EndpointRecord> records, std::map<std::string, std::string> regions)
+{
+    boost::asio::post(io_, [this, records = std::move(records), regions = std::move(regions)] {
+        endpoints_.update(records, regions);
+    });
+}
+
+void ForwardServer::setRunningElsewhere(std::map<std::string, std::int64_t> running)
+{
+    boost::asio::post(
+        io_, [this, running = std::move(running)] { endpoints_.setRunningElsewhere(running); });
+}
+
+void ForwardServer::beginDrain()
+{
+    isDraining_.store(true);
+}
+
+void ForwardServer::closeIdleSessions()
+{
+    boost::asio::post(io_, [this] {
+        std::set<std::shared_ptr<CallerSession>> sessions = sessions_;
+        for (const std::shared_ptr<CallerSession>& session : sessions)
+            session->closeIfIdle();
+    });
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/internal/socket_options.cc
@@ -0,0 +1,46 @@
+#include "ragwortwinch/forward/internal/socket_options.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace ragwortwinch::internal {
+
+namespace {
+
+// Bytes that stay unacknowledged for this long break the connection: several round trips between regions and
+// two lost packets, but less than the shortest time limit of a caller.
+constexpr int userTimeoutMillis = 1500;
+// An idle connection is probed after this many seconds, and given up after this many probes a second apart.
+constexpr int keepAliveIdleSeconds = 2;
+constexpr int keepAliveIntervalSeconds = 1;
+constexpr int keepAliveProbes = 2;
+
+void setOption(int socket, int level, int name, int value)
+{
+    setsockopt(socket, level, name, &value, sizeof(value));
+}
+
+} // namespace
+
+void setStreamOptions(boost::asio::ip::tcp::socket& socket)
+{
+    int handle = socket.native_handle();
+    setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, userTimeoutMillis);
+    setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, keepAliveIdleSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, keepAliveIntervalSeconds);
+    setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
+}
+
+void resetSocket(boost::asio::ip::tcp::socket& socket)
+{
+    if (!socket.is_open())
+        return;
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+}
+
+} // namespace ragwortwinch::internal
--- /dev/null
+++ b/ragwortwinch/forward/outcome_tracker.h
@@ -0,0 +1,47 @@
+// Judges an endpoint by the outcomes of the requests that it was sent, since a health check can be good while
+// requests fail.
+//
+//     tracker.onFailure(now);
+//     if (tracker.isSuspect(now)) prefer another endpoint, but try this one with one request in a while
+//
+// A suspect endpoint is tried again after a pause that doubles with each failed try. Not thread-safe.
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+
+namespace ragwortwinch {
+
+class OutcomeTracker {
+public:
+    // An endpoint is suspect once its decayed share of failures reaches this.
+    static constexpr double suspectShare = 0.5;
+    // Failures in a row that make an endpoint suspect whatever came before.
+    static constexpr int suspectRun = 3;
+    // How much one outcome weighs against the history.
+    static constexpr double outcomeWeight = 0.1;
+    static constexpr Millis firstPause{500};
+    static constexpr Millis longestPause{4000};
+
+    void onSuccess(Instant now);
+    void onFailure(Instant now);
+    // The endpoint couldn't even be reached: suspect at once.
+    void onUnreachable(Instant now);
+    // True while other endpoints should be preferred.
+    bool isSuspect(Instant now) const { return isSuspect_ && now < retryAt_; }
+    // True once when a suspect endpoint is due for a try; the next one is a pause later.
+    bool takeTry(Instant now);
+    bool isOnProbation() const { return isSuspect_; }
+    double failureShare() const { return failureShare_; }
+
+private:
+    void suspect(Instant now);
+
+    double failureShare_ = 0;
+    int failuresInARow_ = 0;
+    int successesInARow_ = 0;
+    bool isSuspect_ = false;
+    Millis pause_ = firstPause;
+    Instant retryAt_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/placement.cc
@@ -0,0 +1,142 @@
+#include "ragwortwinch/forward/placement.h"
+
+#include <algorithm>
+#include <functional>
+#include <limits>
+
+namespace ragwortwinch {
+
+namespace {
+
+// An endpoint with affinity is left once its load is over the mean of its group by this part and constant.
+constexpr double loadFactor = 1.5;
+constexpr double loadConstant = 3;
+// The load, as a part of its slots, from which a nearer group of endpoints is left for a farther one.
+constexpr double spillOccupancy = 0.8;
+
+std::uint64_t mix(std::uint64_t value)
+{
+    value ^= value >> 33;
+    value *= 0xff51afd7ed558ccdULL;
+    value ^= value >> 33;
+    value *= 0xc4ceb9fe1a85ec53ULL;
+    value ^= value >> 33;
+    return value;
+}
+
+std::uint64_t rendezvousWeight(std::uint64_t affinity, const UpstreamEndpoint& endpoint)
+{
+    return mix(affinity ^ mix(std::hash<std::string>()(endpoint.record.id)));
+}
+
+double occupancy(const UpstreamEndpoint& endpoint)
+{
+    return static_cast<double>(endpoint.load())
+        / static_cast<double>(std::max<std::int64_t>(1, endpoint.record.slots));
+}
+
+double meanLoad(const std::vector<UpstreamPointer>& group)
+{
+    double sum = 0;
+    for (const UpstreamPointer& endpoint : group)
+        sum += static_cast<double>(endpoint->load());
+    return sum / static_cast<double>(group.size());
+}
+
+UpstreamPointer leastLoaded(const std::vector<UpstreamPointer>& group, std::uint64_t spread)
+{
+    UpstreamPointer best;
+    double bestLoad = std::numeric_limits<double>::max();
+    for (std::size_t index = 0; index < group.size(); ++index) {
+        const UpstreamPointer& endpoint = group[(index + spread) % group.size()];
+        double load = occupancy(*endpoint);
+        if (load < bestLoad) {
+            bestLoad = load;
+            best = endpoint;
+        }
+    }
+    return best;
+}
+
+UpstreamPointer withAffinity(const std::vector<UpstreamPointer>& group, const PlacementQuery& query)
+{
+    std::vector<std::pair<std::uint64_t, UpstreamPointer>> ranked;
+    ranked.reserve(group.size());
+    for (const UpstreamPointer& endpoint : group)
+        ranked.emplace_back(rendezvousWeight(query.affinity, *endpoint), endpoint);
+    std::sort(ranked.begin(), ranked.end(),
+        [](const std::pair<std::uint64_t, UpstreamPointer>& left,
+            const std::pair<std::uint64_t, UpstreamPointer>& right) { return left.first > right.first; });
+    double bound = meanLoad(group) * loadFactor + loadConstant;
+    for (const std::pair<std::uint64_t, UpstreamPointer>& candidate : ranked) {
+        if (static_cast<double>(candidate.second->load()) <= bound)
+            return candidate.second;
+    }
+    return leastLoaded(group, query.spread);
+}
+
+} // namespace
+
+Distance distanceOf(const PlacementQuery& query, const UpstreamEndpoint& endpoint)
+{
+    if (endpoint.record.availabilityZone == query.availabilityZone)
+        return Distance::SameZone;
+    return endpoint.region == query.region ? Distance::SameRegion : Distance::OtherRegion;
+}
+
+std::vector<UpstreamPointer> usableCandidates(const PlacementQuery& query,
+    const std::vector<UpstreamPointer>& candidates, Instant now, UpstreamPointer& dueTry)
+{
+    std::vector<UpstreamPointer> good;
+    std::vector<UpstreamPointer> suspect;
+    for (const UpstreamPointer& endpoint : candidates) {
+        bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), endpoint.get())
+            != query.excluded.end();
+        if (isExcluded || !endpoint->isUsable())
+            continue;
+        if (!endpoint->outcomes.isOnProbation()) {
+            good.push_back(endpoint);
+            continue;
+        }
+        suspect.push_back(endpoint);
+        if (!dueTry && query.mayProbe && endpoint->outcomes.takeTry(now))
+            dueTry = endpoint;
+    }
+    if (!good.empty())
+        return good;
+    dueTry = nullptr;
+    return suspect;
+}
+
+UpstreamPointer LeastLoadedPlacement::choose(
+    const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now)
+{
+    UpstreamPointer dueTry;
+    std::vector<UpstreamPointer> usable = usableCandidates(query, candidates, now, dueTry);
+    if (dueTry)
+        return dueTry;
+    return usable.empty() ? nullptr : leastLoaded(usable, query.spread);
+}
+
+UpstreamPointer AffinityPlacement::choose(
+    const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now)
+{
+    UpstreamPointer dueTry;
+    std::vector<UpstreamPointer> usable = usableCandidates(query, candidates, now, dueTry);
+    if (dueTry)
+        return dueTry;
+    if (usable.empty())
+        return nullptr;
+    for (Distance distance : {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
+        std::vector<UpstreamPointer> group;
+        for (const UpstreamPointer& endpoint : usable) {
+            if (distanceOf(query, *endpoint) == distance && occupancy(*endpoint) < spillOccupancy)
+                group.push_back(endpoint);
+        }
+        if (!group.empty())
+            return query.affinity ? withAffinity(group, query) : leastLoaded(group, query.spread);
+    }
+    return leastLoaded(usable, query.spread);
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/placement.h
@@ -0,0 +1,66 @@
+// Chooses the endpoint for one request. A pure decision: no sockets, no clock.
+//
+//     std::unique_ptr<Placement> placement = std::make_unique<AffinityPlacement>();
+//     UpstreamPointer endpoint = placement->choose(query, candidates, now);
+//
+// It answers the load of many short requests from several VMs that share endpoints without talking to each
+// other for each request.
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+#include "ragwortwinch/forward/upstream_endpoint.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ragwortwinch {
+
+struct PlacementQuery {
+    // Of the VM that asks.
+    std::string availabilityZone;
+    std::string region;
+    // Names the shared part of the prompt that costs most to read again; 0 when there is none.
+    std::uint64_t affinity = 0;
+    // Spreads requests without affinity.
+    std::uint64_t spread = 0;
+    // Endpoints that this request has been sent to.
+    std::vector<const UpstreamEndpoint*> excluded;
+    // Whether the request may be spent on a suspect endpoint, to see whether it has recovered.
+    bool mayProbe = false;
+};
+
+// How far an endpoint is from the VM that asks.
+enum class Distance { SameZone, SameRegion, OtherRegion };
+
+Distance distanceOf(const PlacementQuery&, const UpstreamEndpoint&);
+
+class Placement {
+public:
+    virtual ~Placement() = default;
+    // Returns null when no candidate may be used.
+    virtual UpstreamPointer choose(
+        const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now)
+        = 0;
+};
+
+// The simplest rival: the fewest running requests, wherever they are.
+class LeastLoadedPlacement final : public Placement {
+public:
+    UpstreamPointer choose(
+        const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now) override;
+};
+
+// Requests that share a prompt go to one endpoint near by, as long as it isn't loaded beyond the others.
+class AffinityPlacement final : public Placement {
+public:
+    UpstreamPointer choose(
+        const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now) override;
+};
+
+// The candidates that may be used now: not excluded, and not suspect as long as there are others. A suspect
+// endpoint that is due for a try comes back alone in `dueTry`.
+std::vector<UpstreamPointer> usableCandidates(const PlacementQuery& query,
+    const std::vector<UpstreamPointer>& candidates, Instant now, UpstreamPointer& dueTry);
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/prefill_step.cc
@@ -0,0 +1,109 @@
+#include "ragwortwinch/forward/prefill_step.h"
+
+#include "ragwortwinch/base/log_event.h"
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr int statusOk = 200;
+// The answer to a prefill is a few fields.
+constexpr std::size_t maxAnswerBytes = 64 * 1024;
+
+// Sends the call that frees a handle, and keeps itself alive until its end.
+class HandleFreer final : private AttemptListener, public std::enable_shared_from_this<HandleFreer> {
+public:
+    void start(ForwardContext& context, const UpstreamPointer& endpoint, const std::string& handle)
+    {
+        ForwardedFields own;
+        own.endpointId = endpoint->record.id;
+        std::string head
+            = "DELETE " + context.codec.freeHandleTarget(handle) + " HTTP/1.1\r\nHost: endpoint\r\n";
+        context.codec.appendForwarded(head, HttpFields(), own);
+        head += "Content-Length: 0\r\n\r\n";
+        AttemptOptions options;
+        options.connectTimeout = context.options.connectTimeout;
+        options.firstByteTimeout = callBound;
+        options.gapTimeout = callBound;
+        options.maxIdlePart = ChannelPool::usedIdlePart;
+        attempt_ = std::make_shared<Attempt>(
+            context.io, context.pool, context.codec, context.clock, endpoint, options,
+            static_cast<AttemptListener&>(*this));
+        self_ = shared_from_this();
+        attempt_->start(std::move(head), std::make_shared<const std::string>());
+    }
+
+private:
+    static constexpr Millis callBound{1000};
+
+    void onReplyHead(int, std::string_view, const HttpFields&) override { }
+    void onReplyBody(std::string) override { attempt_->resume(); }
+    void onAttemptEnd(AttemptEnd) override
+    {
+        std::shared_ptr<HandleFreer> self = std::move(self_);
+        attempt_.reset();
+    }
+
+    std::shared_ptr<Attempt> attempt_;
+    std::shared_ptr<HandleFreer> self_;
+};
+
+} // namespace
+
+PrefillStep::PrefillStep(
+    ForwardContext& context, UpstreamPointer endpoint, std::function<void(const PrefillResult&)> onDone)
+    : context_(context)
+    , endpoint_(std::move(endpoint))
+    , onDone_(std::move(onDone))
+{
+}
+
+PrefillStep::~PrefillStep()
+{
+    cancel();
+}
+
+void PrefillStep::start(std::string head, std::shared_ptr<const std::string> body, AttemptOptions options)
+{
+    attempt_ = std::make_shared<Attempt>(
+        context_.io, context_.pool, context_.codec, context_.clock, endpoint_,
+        std::move(options), static_cast<AttemptListener&>(*this));
+    attempt_->start(std::move(head), std::move(body));
+}
+
+void PrefillStep::cancel()
+{
+    if (attempt_)
+        attempt_->cancel();
+    attempt_.reset();
+}
+
+void PrefillStep::onReplyHead(int status, std::string_view, const HttpFields&)
+{
+    status_ = status;
+}
+
+void PrefillStep::onReplyBody(std::string piece)
+{
+    if (body_.size() + piece.size() <= maxAnswerBytes)
+        body_ += piece;
+    attempt_->resume();
+}
+
+void PrefillStep::onAttemptEnd(AttemptEnd end)
+{
+    PrefillResult result;
+    result.end = end;
+    result.endpoint = endpoint_;
+    if (end == AttemptEnd::Complete && status_ == statusOk)
+        result.handle = context_.codec.decodePrefillHandle(body_);
+    attempt_.reset();
+    onDone_(result);
+}
+
+void freeHandle(ForwardContext& context, const UpstreamPointer& endpoint, const std::string& handle)
+{
+    std::make_shared<HandleFreer>()->start(context, endpoint, handle);
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/prefill_step.h
@@ -0,0 +1,51 @@
+// Has a prompt read by an engine for prefill, and frees it if nobody fetches it.
+//
+//     step = std::make_shared<PrefillStep>(context, endpoint, onDone);
+//     step->start(head, body, requestId);
+//
+// Belongs to the forwarding thread.
+#pragma once
+
+#include "ragwortwinch/forward/attempt.h"
+#include "ragwortwinch/forward/forward_context.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace ragwortwinch {
+
+struct PrefillResult {
+    AttemptEnd end = AttemptEnd::Broken;
+    // Empty when the engine gave none.
+    std::string handle;
+    UpstreamPointer endpoint;
+};
+
+class PrefillStep final : private AttemptListener {
+public:
+    PrefillStep(ForwardContext& context, UpstreamPointer endpoint,
+        std::function<void(const PrefillResult&)> onDone);
+    ~PrefillStep() override;
+
+    void start(std::string head, std::shared_ptr<const std::string> body, AttemptOptions options);
+    void cancel();
+    const UpstreamPointer& endpoint() const { return endpoint_; }
+
+private:
+    void onReplyHead(int status, std::string_view reason, const HttpFields& fields) override;
+    void onReplyBody(std::string piece) override;
+    void onAttemptEnd(AttemptEnd end) override;
+
+    ForwardContext& context_;
+    UpstreamPointer endpoint_;
+    std::function<void(const PrefillResult&)> onDone_;
+    std::shared_ptr<Attempt> attempt_;
+    int status_ = 0;
+    std::string body_;
+};
+
+// Tells an engine that a prompt it keeps won't be fetched. The answer is of no interest.
+void freeHandle(ForwardContext& context, const UpstreamPointer& endpoint, const std::string& handle);
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/repeat_budget.h
@@ -0,0 +1,53 @@
+// Bounds how often requests of a service are sent once more, so that trouble doesn't multiply the load.
+//
+//     RepeatBudget budget({.ratio = 0.2, .window = Millis(10000), .slack = 6});
+//     budget.onRequest(now);
+//     if (budget.tryTake(now)) sendOnceMore();
+//
+// In any window the repeats are at most the ratio of the requests plus the slack. One object holds the share
+// of one VM; the slack of all VMs together is the operator's. Not thread-safe.
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+
+#include <cstdint>
+#include <deque>
+
+namespace ragwortwinch {
+
+struct RepeatBudgetOptions {
+    double ratio = 0.2;
+    Millis window{10000};
+    double slack = 0;
+};
+
+class RepeatBudget {
+public:
+    explicit RepeatBudget(RepeatBudgetOptions options)
+        : options_(options)
+    {
+    }
+    void setOptions(RepeatBudgetOptions options) { options_ = options; }
+
+    void onRequest(Instant now);
+    // Takes one repeat, or returns false.
+    bool tryTake(Instant now);
+    // Repeats that could be taken now.
+    std::int64_t available(Instant now);
+
+private:
+    // Counts of one step of time.
+    struct Step {
+        Instant start;
+        std::int64_t requests = 0;
+        std::int64_t repeats = 0;
+    };
+    static constexpr int stepsPerWindow = 20;
+
+    Step& current(Instant now);
+
+    RepeatBudgetOptions options_;
+    std::deque<Step> steps_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/request_log.cc
@@ -0,0 +1,29 @@
+#include "ragwortwinch/forward/request_log.h"
+
+#include "ragwortwinch/base/log_event.h"
+
+#include <functional>
+
+namespace ragwortwinch {
+
+bool RequestLog::takesSuccess(std::string_view requestId) const
+{
+    return std::hash<std::string_view>()(requestId) % sampledSuccesses == 0;
+}
+
+bool RequestLog::takeFailure(Instant now)
+{
+    if (now >= second_ + std::chrono::seconds(1)) {
+        if (suppressed_)
+            LogEvent("log.suppressed", Severity::Warning).with("lines", suppressed_);
+        second_ = now;
+        lines_ = 0;
+        suppressed_ = 0;
+    }
+    if (++lines_ <= maxLinesPerSecond)
+        return true;
+    ++suppressed_;
+    return false;
+}
+
+} // namespace ragwortwinch
--- a/ragwortwinch/lease/authority_fuse.cc
+++ b/ragwortwinch/lease/authority_fuse.cc
@@ -1,12 +1,12 @@
 #include "ragwortwinch/lease/authority_fuse.h"
 
+#include "ragwortwinch/base/log_event.h"
 #include "ragwortwinch/base/mechanism.h"
 
 #include <cerrno>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <stdexcept>
 #include <sys/socket.h>
 #include <sys/syscall.h>
 #include <unistd.h>
@@ -23,7 +23,7 @@
 
 } // namespace
 
-AuthorityFuse::AuthorityFuse()
+AuthorityFuse::AuthorityFuse(Source source)
 {
     for (std::atomic<int>& socket : sockets_)
         socket.store(-1);
@@ -37,15 +37,20 @@
     event.sigev_signo = fuseSignal();
     event.sigev_value.sival_ptr = this;
     event._sigev_un._tid = static_cast<pid_t>(syscall(SYS_gettid));
-    if (deadDescriptor_ < 0 || timer_create(CLOCK_BOOTTIME, &event, &timer_) != 0)
-        throw std::runtime_error(
-            "the kernel gave no timer on CLOCK_BOOTTIME; raise the limits on timers and open files");
+    hasKernelTimer_ = source == Source::KernelTimer && deadDescriptor_ >= 0
+        && timer_create(CLOCK_BOOTTIME, &event, &timer_) == 0;
+    if (!hasKernelTimer_)
+        LogEvent("authority.no_kernel_timer", Severity::Warning)
+            .with("fallback", "clock")
+            .with("remedy", "raise the limits on timers and open files where the kernel allows it");
 }
 
 AuthorityFuse::~AuthorityFuse()
 {
-    timer_delete(timer_);
-    close(deadDescriptor_);
+    if (hasKernelTimer_)
+        timer_delete(timer_);
+    if (deadDescriptor_ >= 0)
+        close(deadDescriptor_);
 }
 
 void AuthorityFuse::onSignal(int, siginfo_t* info, void*)
@@ -71,8 +76,9 @@
 
 void AuthorityFuse::arm(Instant authorityEnd)
 {
+    authorityEnd_ = authorityEnd;
     isBlown_.store(false);
-    if (!isOn(Mechanism::Fuse))
+    if (!isOn(Mechanism::Fuse) || !hasKernelTimer_)
         return;
     itimerspec when{};
     std::int64_t millis = authorityEnd.time_since_epoch().count();
@@ -85,8 +91,10 @@
 
 void AuthorityFuse::disarm()
 {
-    itimerspec never{};
-    timer_settime(timer_, 0, &never, nullptr);
+    if (hasKernelTimer_) {
+        itimerspec never{};
+        timer_settime(timer_, 0, &never, nullptr);
+    }
     isBlown_.store(true);
 }
 
@@ -98,8 +106,15 @@
 
 AuthorityFuse::Arming::~Arming() { fuse_.disarm(); }
 
+bool AuthorityFuse::hasAuthority() const
+{
+    return !isOn(Mechanism::Fuse) || SystemClock().now() < authorityEnd_;
+}
+
 int AuthorityFuse::openSocket(int family, int type, int protocol)
 {
+    if (!hasAuthority())
+        return -1;
     int socket = ::socket(family, type | SOCK_CLOEXEC, protocol);
     if (socket < 0)
         return -1;
--- a/ragwortwinch/lease/authority_fuse.h
+++ b/ragwortwinch/lease/authority_fuse.h
@@ -11,6 +11,10 @@
 // the thread runs another instruction of its own, so a process that wakes late finds its sockets gone. Bytes
 // that the kernel took before the end may still arrive: the quiet period of the next holder covers those.
 //
+// Where the kernel gives no such timer, the fuse falls back to the clock: `hasAuthority` is asked when a socket
+// is opened and again right before the first byte leaves. A process that is stopped between that check and
+// its send may then send late; the quiet period of the next holder covers the sends that were under way.
+//
 // Not covered: a pause of the whole VM during which CLOCK_BOOTTIME stands still. See
 // docs/design/authority.md.
 #pragma once
@@ -27,7 +31,9 @@
 // Belongs to the thread that constructs it; at most one for each thread.
 class AuthorityFuse {
 public:
-    AuthorityFuse();
+    // Whether to try the kernel timer; only a test asks for the clock alone.
+    enum class Source { KernelTimer, ClockOnly };
+    explicit AuthorityFuse(Source source = Source::KernelTimer);
     ~AuthorityFuse();
     AuthorityFuse(const AuthorityFuse&) = delete;
     AuthorityFuse& operator=(const AuthorityFuse&) = delete;
@@ -48,6 +54,9 @@
     int openSocket(int family, int type, int protocol);
     void closeSocket(int socket);
     bool isBlown() const { return isBlown_.load(); }
+    // Whether authority lasts by the clock; to be asked right before a send.
+    bool hasAuthority() const;
+    bool hasKernelTimer() const { return hasKernelTimer_; }
 
 private:
     static void onSignal(int, siginfo_t*, void*);
@@ -58,6 +67,8 @@
     static constexpr std::size_t maxSockets = 8;
 
     timer_t timer_{};
+    bool hasKernelTimer_ = false;
+    Instant authorityEnd_;
     int deadDescriptor_ = -1;
     std::atomic<bool> isBlown_{true};
     std::array<std::atomic<int>, maxSockets> sockets_;
--- a/ragwortwinch/membership/peer_digest.h
+++ b/ragwortwinch/membership/peer_digest.h
@@ -29,6 +29,8 @@
     // Endpoints that the sender knows to be leaving, with their incarnation.
     std::map<std::string, std::uint64_t> leavingEndpoints;
     std::vector<EndpointShare> shares;
+    // The sender's time of day, by which the nodes agree on one (see membership/true_time.h).
+    std::int64_t unixMillis = 0;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/membership/peer_message.cc
+++ b/ragwortwinch/membership/peer_message.cc
@@ -1,118 +1,146 @@
 #include "ragwortwinch/membership/peer_message.h"
 
+#include "ragwortwinch/base/json.h"
+
 #include <fmt/format.h>
-#include <msgpack.hpp>
 
 namespace ragwortwinch {
 
 namespace {
 
 constexpr std::size_t headerBytes = 6;
-// Bounds on what a payload may make the decoder allocate.
-const msgpack::unpack_limit unpackLimit(100000, 100000, maxPeerFrameBytes, maxPeerFrameBytes, 16, 16);
+// Messages are two levels deep; a deeper one would cost stack for nothing.
+constexpr int maxDepth = 8;
 
-using Packer = msgpack::packer<msgpack::sbuffer>;
+// Builds the document, and stops at a nesting that no message has.
+class BoundedDomParser : public nlohmann::detail::json_sax_dom_parser<Json> {
+public:
+    explicit BoundedDomParser(Json& root)
+        : nlohmann::detail::json_sax_dom_parser<Json>(root, false)
+    {
+    }
+    bool start_object(std::size_t size)
+    {
+        return ++depth_ <= maxDepth && json_sax_dom_parser::start_object(size);
+    }
+    bool end_object() { return --depth_, json_sax_dom_parser::end_object(); }
+    bool start_array(std::size_t size)
+    {
+        return ++depth_ <= maxDepth && json_sax_dom_parser::start_array(size);
+    }
+    bool end_array() { return --depth_, json_sax_dom_parser::end_array(); }
 
-void packAddress(Packer& packer, const SocketAddress& address)
-{
-    packer.pack(address.host);
-    packer.pack(address.port);
-}
+private:
+    int depth_ = 0;
+};
 
-void packVm(Packer& packer, const VmInfo& vm)
+Json vmToJson(const VmInfo& vm)
 {
-    packer.pack_array(10);
-    packer.pack(vm.name);
-    packer.pack(vm.availabilityZone);
-    packer.pack(vm.region);
-    packAddress(packer, vm.entryAddress);
-    packAddress(packer, vm.peerAddress);
-    packer.pack(vm.incarnation);
-    packer.pack(vm.isLeaving);
-    packer.pack(vm.isReady);
+    return Json::array({vm.name, vm.availabilityZone, vm.region, vm.entryAddress.host, vm.entryAddress.port,
+        vm.peerAddress.host, vm.peerAddress.port, vm.incarnation, vm.isLeaving, vm.isReady});
 }
 
-// Reads the items of an array in order; a missing or mistyped item throws msgpack::type_error.
+// Reads the items of an array in order; a missing or mistyped item throws a JSON exception.
 class ArrayReader {
 public:
-    explicit ArrayReader(const msgpack::object& object)
+    explicit ArrayReader(const Json& array)
+        : array_(array)
+    {
+        if (!array.is_array())
+            throw std::out_of_range("not an array");
+    }
+    const Json& next() { return array_.at(index_++); }
+    template <typename T> T take() { return next().get<T>(); }
+    // Numbers convert silently in the library; here each kind is asked for.
+    std::uint64_t takeUnsigned()
     {
-        if (object.type != msgpack::type::ARRAY)
-            throw msgpack::type_error();
-        items_ = object.via.array.ptr;
-        size_ = object.via.array.size;
+        const Json& item = next();
+        if (!item.is_number_unsigned())
+            throw std::out_of_range("not an unsigned number");
+        return item.get<std::uint64_t>();
     }
-    const msgpack::object& next()
+    std::int64_t takeInteger()
     {
-        if (index_ >= size_)
-            throw msgpack::type_error();
-        return items_[index_++];
+        const Json& item = next();
+        if (!item.is_number_integer())
+            throw std::out_of_range("not an integer");
+        return item.get<std::int64_t>();
     }
-    template <typename T> T take() { return next().as<T>(); }
     SocketAddress takeAddress()
     {
         SocketAddress address;
         address.host = take<std::string>();
-        address.port = take<std::uint16_t>();
+        std::uint64_t port = takeUnsigned();
+        if (port > UINT16_MAX)
+            throw std::out_of_range("not a port");
+        address.port = static_cast<std::uint16_t>(port);
         return address;
     }
 
 private:
-    const msgpack::object* items_ = nullptr;
-    std::uint32_t size_ = 0;
-    std::uint32_t index_ = 0;
+    const Json& array_;
+    std::size_t index_ = 0;
 };
 
-VmInfo readVm(const msgpack::object& object)
+VmInfo readVm(const Json& array)
 {
-    ArrayReader reader(object);
+    ArrayReader reader(array);
     VmInfo vm;
     vm.name = reader.take<std::string>();
     vm.availabilityZone = reader.take<std::string>();
     vm.region = reader.take<std::string>();
     vm.entryAddress = reader.takeAddress();
     vm.peerAddress = reader.takeAddress();
-    vm.incarnation = reader.take<std::uint64_t>();
+    vm.incarnation = reader.takeUnsigned();
     vm.isLeaving = reader.take<bool>();
     vm.isReady = reader.take<bool>();
     return vm;
 }
 
-PeerDigest readDigest(const msgpack::object& object)
+PeerDigest readDigest(const Json& array)
 {
-    ArrayReader reader(object);
+    ArrayReader reader(array);
     PeerDigest digest;
     digest.sender = readVm(reader.next());
-    digest.sequence = reader.take<std::uint64_t>();
-    digest.echo = reader.take<std::uint64_t>();
-    digest.configVersion = reader.take<std::uint64_t>();
-    digest.proofAgeMillis = reader.take<std::int64_t>();
+    digest.sequence = reader.takeUnsigned();
+    digest.echo = reader.takeUnsigned();
+    digest.configVersion = reader.takeUnsigned();
+    digest.proofAgeMillis = reader.takeInteger();
     digest.isStoreDown = reader.take<bool>();
     digest.leavingEndpoints = reader.take<std::map<std::string, std::uint64_t>>();
-    for (const msgpack::object& item : reader.take<std::vector<msgpack::object>>()) {
+    for (const Json& item : reader.take<std::vector<Json>>()) {
         ArrayReader share(item);
         EndpointShare entry;
         entry.endpoint = share.take<std::string>();
-        entry.running = share.take<std::int64_t>();
-        entry.pieces = share.take<std::int64_t>();
+        entry.running = share.takeInteger();
+        entry.pieces = share.takeInteger();
         digest.shares.push_back(std::move(entry));
     }
+    digest.unixMillis = reader.takeInteger();
     return digest;
 }
 
 template <typename T, typename Read> std::optional<T> decode(std::string_view payload, Read read)
 {
+    Json document;
+    BoundedDomParser parser(document);
     try {
-        msgpack::object_handle handle
-            = msgpack::unpack(payload.data(), payload.size(), nullptr, nullptr, unpackLimit);
-        return read(handle.get());
-    } catch (const msgpack::unpack_error&) {
+        if (!Json::sax_parse(payload, &parser, Json::input_format_t::msgpack))
+            return std::nullopt;
+        return read(document);
+    } catch (const Json::exception&) {
         return std::nullopt;
-    } catch (const msgpack::type_error&) {
+    } catch (const std::out_of_range&) {
         return std::nullopt;
     }
 }
 
+std::string toFrame(PeerMessageKind kind, const Json& message)
+{
+    std::vector<std::uint8_t> bytes = Json::to_msgpack(message);
+    return encodeFrame(kind, std::string_view(reinterpret_cast<const char*>(bytes.data()), bytes.size()));
+}
+
 } // namespace
 
 std::string encodeFrame(PeerMessageKind kind, std::string_view payload)
@@ -130,24 +158,13 @@
 
 std::string encodeDigest(const PeerDigest& digest)
 {
-    msgpack::sbuffer buffer;
-    Packer packer(buffer);
-    packer.pack_array(8);
-    packVm(packer, digest.sender);
-    packer.pack(digest.sequence);
-    packer.pack(digest.echo);
-    packer.pack(digest.configVersion);
-    packer.pack(digest.proofAgeMillis);
-    packer.pack(digest.isStoreDown);
-    packer.pack(digest.leavingEndpoints);
-    packer.pack_array(static_cast<std::uint32_t>(digest.shares.size()));
-    for (const EndpointShare& share : digest.shares) {
-        packer.pack_array(3);
-        packer.pack(share.endpoint);
-        packer.pack(share.running);
-        packer.pack(share.pieces);
-    }
-    return encodeFrame(PeerMessageKind::Digest, std::string_view(buffer.data(), buffer.size()));
+    Json shares = Json::array();
+    for (const EndpointShare& share : digest.shares)
+        shares.push_back(Json::array({share.endpoint, share.running, share.pieces}));
+    return toFrame(PeerMessageKind::Digest,
+        Json::array({vmToJson(digest.sender), digest.sequence, digest.echo, digest.configVersion,
+            digest.proofAgeMillis, digest.isStoreDown, Json(digest.leavingEndpoints), shares,
+            digest.unixMillis}));
 }
 
 std::optional<PeerDigest> decodeDigest(std::string_view payload)
@@ -157,21 +174,16 @@
 
 std::string encodeConfigBody(const ConfigBody& body)
 {
-    msgpack::sbuffer buffer;
-    Packer packer(buffer);
-    packer.pack_array(2);
-    packer.pack(body.head.toJson());
-    packer.pack(body.text);
-    return encodeFrame(PeerMessageKind::ConfigBody, std::string_view(buffer.data(), buffer.size()));
+    return toFrame(PeerMessageKind::ConfigBody, Json::array({body.head.toJson(), body.text}));
 }
 
 std::optional<ConfigBody> decodeConfigBody(std::string_view payload)
 {
-    return decode<ConfigBody>(payload, [](const msgpack::object& object) {
-        ArrayReader reader(object);
+    return decode<ConfigBody>(payload, [](const Json& array) {
+        ArrayReader reader(array);
         std::optional<ConfigHead> head = parseConfigHead(reader.take<std::string>());
         if (!head)
-            throw msgpack::type_error();
+            throw std::out_of_range("not a configuration's head");
         return ConfigBody{*head, reader.take<std::string>()};
     });
 }
--- a/ragwortwinch/node/ragwortwinchd_main.cc
+++ b/ragwortwinch/node/ragwortwinchd_main.cc
@@ -80,7 +80,7 @@
         std::cerr << "no settings given; start with --settings FILE, see docs/SETTINGS.md" << std::endl;
         return exitUsage;
     }
-    ragwortwinch::startLogging(argv[0]);
+    ragwortwinch::startLogging();
     return ragwortwinch::handleErrors(
         [&]() -> ragwortwinch::Result<int> {
             BOOST_LEAF_AUTO(settings, ragwortwinch::loadSettings(values["settings"].as<std::string>()));
--- /dev/null
+++ b/ragwortwinch/routing/endpoint_registry.cc
@@ -0,0 +1,103 @@
+#include "ragwortwinch/routing/endpoint_registry.h"
+
+#include "ragwortwinch/base/log_event.h"
+
+#include <algorithm>
+#include <set>
+
+namespace ragwortwinch {
+
+void EndpointRegistry::onList(Instant now, const std::vector<EndpointRecord>& records)
+{
+    std::set<std::string> listed;
+    for (const EndpointRecord& record : records) {
+        listed.insert(record.id);
+        onPut(now, record);
+    }
+    std::vector<std::string> missing;
+    for (const auto& [id, record] : records_) {
+        if (!listed.contains(id))
+            missing.push_back(id);
+    }
+    for (const std::string& id : missing)
+        onRemoved(now, id);
+    hasList_ = true;
+}
+
+void EndpointRegistry::onPut(Instant, const EndpointRecord& record)
+{
+    missingUntil_.erase(record.id);
+    auto found = records_.find(record.id);
+    if (found != records_.end() && found->second == record)
+        return;
+    // An older start of the same endpoint writes late.
+    if (found != records_.end() && record.incarnation < found->second.incarnation)
+        return;
+    LogEvent("endpoint.registered")
+        .with("endpoint", record.id)
+        .with("service", record.service)
+        .with("address", record.address.text())
+        .with("zone", record.availabilityZone)
+        .with("role", engineRoleNames.name(record.role))
+        .with("draining", record.isDraining)
+        .with("reclaimable", record.isReclaimable)
+        .with("incarnation", record.incarnation);
+    records_[record.id] = record;
+    isChanged_ = true;
+}
+
+void EndpointRegistry::onRemoved(Instant now, const std::string& id)
+{
+    if (!records_.contains(id))
+        return;
+    if (mustWait(now)) {
+        missingUntil_.try_emplace(id, std::max(graceEnd_, now + returnGrace));
+        return;
+    }
+    remove(now, id);
+}
+
+void EndpointRegistry::remove(Instant, const std::string& id)
+{
+    LogEvent("endpoint.gone").with("endpoint", id);
+    records_.erase(id);
+    missingUntil_.erase(id);
+    isChanged_ = true;
+}
+
+void EndpointRegistry::onStoreLost()
+{
+    isStoreLost_ = true;
+}
+
+void EndpointRegistry::onStoreRegained(Instant now)
+{
+    isStoreLost_ = false;
+    if (hasList_)
+        graceEnd_ = now + returnGrace;
+    for (auto& [id, until] : missingUntil_)
+        until = graceEnd_;
+}
+
+bool EndpointRegistry::tick(Instant now)
+{
+    std::vector<std::string> gone;
+    for (const auto& [id, until] : missingUntil_) {
+        if (!isStoreLost_ && now >= until)
+            gone.push_back(id);
+    }
+    for (const std::string& id : gone)
+        remove(now, id);
+    return std::exchange(isChanged_, false);
+}
+
+std::vector<EndpointRecord> EndpointRegistry::records() const
+{
+    std::vector<EndpointRecord> result;
+    result.reserve(records_.size());
+    for (const auto& [id, record] : records_)
+        result.push_back(record);
+    return result;
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/routing/endpoint_registry_test.cc
@@ -0,0 +1,72 @@
+#include "ragwortwinch/routing/endpoint_registry.h"
+
+#include <doctest/doctest.h>
+
+namespace ragwortwinch {
+namespace {
+
+EndpointRecord record(const std::string& id, std::int64_t incarnation = 1)
+{
+    EndpointRecord value;
+    value.id = id;
+    value.incarnation = incarnation;
+    value.service = "desk";
+    value.address = {"10.0.0.1", 80};
+    return value;
+}
+
+Instant at(int millis)
+{
+    return Instant(Millis(100000 + millis));
+}
+
+TEST_CASE("an endpoint whose entry is removed is gone at once")
+{
+    EndpointRegistry registry;
+    registry.onList(at(0), {record("a"), record("b")});
+    CHECK(registry.tick(at(0)));
+    registry.onRemoved(at(10), "a");
+    CHECK(registry.tick(at(10)));
+    CHECK(registry.size() == 1);
+    CHECK_FALSE(registry.tick(at(11)));
+}
+
+TEST_CASE("entries that lapsed in an outage are kept until the grace after the store's return")
+{
+    EndpointRegistry registry;
+    registry.onList(at(0), {record("a"), record("b")});
+    registry.onStoreLost();
+    registry.tick(at(60000));
+    CHECK(registry.size() == 2);
+    registry.onStoreRegained(at(60000));
+    registry.onList(at(60010), {});
+    registry.tick(at(61000));
+    CHECK(registry.size() == 2);
+    registry.onPut(at(61500), record("a"));
+    registry.tick(at(62400));
+    CHECK(registry.size() == 1);
+    CHECK(registry.records()[0].id == "a");
+}
+
+TEST_CASE("an entry that is removed for good after the grace is gone at once")
+{
+    EndpointRegistry registry;
+    registry.onList(at(0), {record("a")});
+    registry.onStoreLost();
+    registry.onStoreRegained(at(1000));
+    registry.onRemoved(at(3400), "a");
+    CHECK(registry.size() == 0);
+}
+
+TEST_CASE("an older start of an endpoint doesn't replace a newer one")
+{
+    EndpointRegistry registry;
+    registry.onPut(at(0), record("a", 7));
+    EndpointRecord late = record("a", 6);
+    late.isDraining = true;
+    registry.onPut(at(1), late);
+    CHECK_FALSE(registry.records()[0].isDraining);
+}
+
+} // namespace
+} // namespace ragwortwinch
--- a/testing/process/child_process.cc
+++ b/testing/process/child_process.cc
@@ -31,10 +31,15 @@
     }
     close(pipes[1]);
     char character = 0;
-    while (read(pipes[0], &character, 1) == 1 && character != '\n')
-        line_ += character;
+    // The line that tells the ports; log lines may come before it.
+    while (read(pipes[0], &character, 1) == 1 && !(character == '\n' && isPortLine())) {
+        if (character == '\n')
+            line_.clear();
+        else
+            line_ += character;
+    }
     close(pipes[0]);
-    if (line_.find("port=") == std::string::npos)
+    if (!isPortLine())
         throw std::runtime_error(program + " did not start");
 }
 
@@ -55,6 +60,11 @@
     return static_cast<std::uint16_t>(std::atoi(line_.c_str() + start + name.size() + 1));
 }
 
+bool ChildProcess::isPortLine() const
+{
+    return line_.find("port=") != std::string::npos && line_.find("event=") == std::string::npos;
+}
+
 int ChildProcess::wait()
 {
     int status = 0;
--- a/testing/process/child_process.h
+++ b/testing/process/child_process.h
@@ -32,6 +32,8 @@
     long residentKilobytes() const;
 
 private:
+    bool isPortLine() const;
+
     pid_t pid_ = -1;
     std::string line_;
     bool hasEnded_ = false;
--- a/testing/protocol/protocol_run_main.cc
+++ b/testing/protocol/protocol_run_main.cc
@@ -4,13 +4,11 @@
 //     replay it protocol_run --from 4711 --count 1 protocol_run --off quiet_period --count 1000          #
 //     exits 0 when the breach is found
 #include "ragwortwinch/base/invariant.h"
-#include "ragwortwinch/base/log_event.h"
 #include "ragwortwinch/base/mechanism.h"
 #include "testing/protocol/protocol_run.h"
 
 #include <atomic>
 #include <boost/program_options.hpp>
-#include <glog/logging.h>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -62,8 +60,6 @@
         return 0;
     }
     ragwortwinch::setInvariantMode(ragwortwinch::InvariantMode::Throw);
-    ragwortwinch::startLogging(argv[0]);
-    FLAGS_minloglevel = google::GLOG_FATAL;
     std::vector<std::unique_ptr<ragwortwinch::SwitchedOff>> off;
     for (const std::string& name : values["off"].as<std::vector<std::string>>()) {
         std::optional<ragwortwinch::Mechanism> mechanism = ragwortwinch::mechanismNames.parse(name);
