Bring up the whole path on the co-operative platform, thin

Cause: the product had no forwarding exchange, no endpoint registry from a watch, no hosts and prefixes, and no adapter for the platform. Change: platform/ (names, formats, calls), forwarding over Boost.Beast, registry, peers found through the store, agreed time, usage windows by one holder, address answer, readiness, drain, deploy/.

--- a/ragwortwinch/config/internal/field_reader.cc
+++ b/ragwortwinch/config/internal/field_reader.cc
@@ -1,5 +1,7 @@
 #include "ragwortwinch/config/internal/field_reader.h"
 
+#include "ragwortwinch/base/log_event.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <numeric>
@@ -126,6 +128,17 @@
     return values;
 }
 
+void FieldReader::logUnknown()
+{
+    std::string names;
+    for (const auto& member : object_.items()) {
+        if (!known_.contains(member.key()))
+            names += (names.empty() ? "" : ",") + member.key();
+    }
+    if (!names.empty())
+        LogEvent("settings.unknown_fields", Severity::Warning).with("ignored", names);
+}
+
 void FieldReader::finish()
 {
     for (const auto& member : object_.items()) {
--- a/ragwortwinch/config/internal/field_reader.h
+++ b/ragwortwinch/config/internal/field_reader.h
@@ -29,6 +29,10 @@
     std::vector<std::string> texts(const std::string& name);
     // Reports fields that were never asked for, with the nearest known name.
     void finish();
+    // Logs fields that were never asked for, in one line; they have no effect.
+    void logUnknown();
+    // True when the object has the field; counts as asking for it.
+    bool has(const std::string& name) { return find(name) != nullptr; }
     void problem(const std::string& field, const std::string& message);
     int lineOf(const std::string& field) const { return lineOf_(field); }
 
--- a/ragwortwinch/forward/placement.cc
+++ b/ragwortwinch/forward/endpoint_chooser.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/placement.h"
+#include "ragwortwinch/forward/endpoint_chooser.h"
 
 #include <algorithm>
 #include <functional>
@@ -108,7 +108,7 @@
     return suspect;
 }
 
-UpstreamPointer LeastLoadedPlacement::choose(
+UpstreamPointer LeastLoadedChooser::choose(
     const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now)
 {
     UpstreamPointer dueTry;
@@ -118,7 +118,7 @@
     return usable.empty() ? nullptr : leastLoaded(usable, query.spread);
 }
 
-UpstreamPointer AffinityPlacement::choose(
+UpstreamPointer AffinityChooser::choose(
     const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now)
 {
     UpstreamPointer dueTry;
--- a/ragwortwinch/forward/placement.h
+++ b/ragwortwinch/forward/endpoint_chooser.h
@@ -1,7 +1,7 @@
 // Chooses the endpoint for one request. A pure decision: no sockets, no clock.
 //
-//     std::unique_ptr<Placement> placement = std::make_unique<AffinityPlacement>();
-//     UpstreamPointer endpoint = placement->choose(query, candidates, now);
+//     std::unique_ptr<EndpointChooser> chooser = std::make_unique<AffinityChooser>();
+//     UpstreamPointer endpoint = chooser->choose(query, candidates, now);
 //
 // It answers the load of many short requests from several VMs that share endpoints without talking to each
 // other for each request.
@@ -35,9 +35,9 @@
 
 Distance distanceOf(const PlacementQuery&, const UpstreamEndpoint&);
 
-class Placement {
+class EndpointChooser {
 public:
-    virtual ~Placement() = default;
+    virtual ~EndpointChooser() = default;
     // Returns null when no candidate may be used.
     virtual UpstreamPointer choose(
         const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now)
@@ -45,14 +45,14 @@
 };
 
 // The simplest rival: the fewest running requests, wherever they are.
-class LeastLoadedPlacement final : public Placement {
+class LeastLoadedChooser final : public EndpointChooser {
 public:
     UpstreamPointer choose(
         const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now) override;
 };
 
 // Requests that share a prompt go to one endpoint near by, as long as it isn't loaded beyond the others.
-class AffinityPlacement final : public Placement {
+class AffinityChooser final : public EndpointChooser {
 public:
     UpstreamPointer choose(
         const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now) override;
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -176,7 +176,7 @@
 void Exchange::startPrefill()
 {
     hasPrefilled_ = true;
-    UpstreamPointer engine = context_.placement.choose(
+    UpstreamPointer engine = context_.chooser.choose(
         makeQuery(), context_.endpoints.prefillers(service_), context_.clock.now());
     if (!engine) {
         place();
@@ -231,7 +231,7 @@
         query.region = cacheHolder_->region;
         query.affinity = 0;
     }
-    UpstreamPointer endpoint = context_.placement.choose(
+    UpstreamPointer endpoint = context_.chooser.choose(
         query, context_.endpoints.runners(service_), context_.clock.now());
     if (endpoint) {
         send(endpoint);
--- a/ragwortwinch/forward/forward_context.h
+++ b/ragwortwinch/forward/forward_context.h
@@ -7,7 +7,7 @@
 #include "ragwortwinch/forward/endpoint_directory.h"
 #include "ragwortwinch/forward/forward_metrics.h"
 #include "ragwortwinch/forward/forward_options.h"
-#include "ragwortwinch/forward/placement.h"
+#include "ragwortwinch/forward/endpoint_chooser.h"
 #include "ragwortwinch/forward/repeat_budget.h"
 #include "ragwortwinch/forward/request_codec.h"
 #include "ragwortwinch/forward/request_log.h"
@@ -32,7 +32,7 @@
     // The time of day that the VMs agree on, for usage windows.
     std::function<std::int64_t()> trueUnixMillis;
     EndpointDirectory& endpoints;
-    Placement& placement;
+    EndpointChooser& chooser;
     ForwardMetrics& metrics;
     RequestLog& log;
     ChannelPool pool{};
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -19,11 +19,11 @@
 
 ForwardServer::ForwardServer(const RequestCodec& codec, const Clock& clock, const ForwardOptions& options,
     TrafficSnapshot& traffic, UsageCounter& usage, std::function<std::int64_t()> trueUnixMillis,
-    std::unique_ptr<Placement> placement, ForwardMetrics& metrics)
+    std::unique_ptr<EndpointChooser> chooser, ForwardMetrics& metrics)
     : options_(options)
     , metrics_(metrics)
-    , placement_(std::move(placement))
-    , context_{io_, codec, clock, options, traffic, usage, std::move(trueUnixMillis), endpoints_, *placement_,
+    , chooser_(std::move(chooser))
+    , context_{io_, codec, clock, options, traffic, usage, std::move(trueUnixMillis), endpoints_, *chooser_,
           metrics, log_}
     , acceptor_(io_)
     , sweepTimer_(io_)
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -31,7 +31,7 @@
     // All references outlive the server.
     ForwardServer(const RequestCodec& codec, const Clock& clock, const ForwardOptions& options,
         TrafficSnapshot& traffic, UsageCounter& usage, std::function<std::int64_t()> trueUnixMillis,
-        std::unique_ptr<Placement> placement, ForwardMetrics& metrics);
+        std::unique_ptr<EndpointChooser> chooser, ForwardMetrics& metrics);
     ~ForwardServer() override;
 
     Result<std::uint16_t> listen(const SocketAddress& address);
@@ -62,7 +62,7 @@
     boost::asio::io_context io_{1};
     const ForwardOptions& options_;
     ForwardMetrics& metrics_;
-    std::unique_ptr<Placement> placement_;
+    std::unique_ptr<EndpointChooser> chooser_;
     EndpointDirectory endpoints_;
     RequestLog log_;
     ForwardContext context_;
--- a/ragwortwinch/lease/lease_keeper.cc
+++ b/ragwortwinch/lease/lease_keeper.cc
@@ -125,7 +125,7 @@
 void LeaseKeeper::onAcquireAnswer(Instant now, const StoreAnswer& answer)
 {
     if (answer.isOk()) {
-        become(now, answer.revision, !isTakingReleased_);
+        become(now, answer.revision, !isTakingReleased_ || !options_.trustsRelease);
         return;
     }
     if (answer.status == StoreStatus::Unknown) {
--- /dev/null
+++ b/ragwortwinch/membership/vm_registration.h
@@ -0,0 +1,50 @@
+// Keeps this VM's entry in the store, by which the others find it. The entry expires when the VM stops
+// renewing it.
+//
+//     VmRegistration registration(info, ids, Millis(10000));
+//     run(registration.tick(now));
+//     registration.onAnswer(now, answer);
+//
+// Not thread-safe.
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+#include "ragwortwinch/membership/vm_info.h"
+#include "ragwortwinch/store/op_ids.h"
+#include "ragwortwinch/store/store_op.h"
+
+#include <optional>
+#include <string>
+
+namespace ragwortwinch {
+
+inline constexpr const char* vmKeyPrefix = "vm/";
+
+std::string encodeVmEntry(const VmInfo&);
+// Returns nothing for an entry of another form.
+std::optional<VmInfo> decodeVmEntry(const std::string& value);
+
+class VmRegistration {
+public:
+    // `ids` outlives the object.
+    VmRegistration(VmInfo self, OpIds& ids, Millis ttl);
+
+    StoreOps tick(Instant now);
+    StoreOps onAnswer(Instant now, const StoreAnswer& answer);
+    // Removes the entry at the next tick.
+    void remove() { isRemoving_ = true; }
+
+private:
+    std::string key() const { return vmKeyPrefix + self_.name; }
+
+    VmInfo self_;
+    OpIds& ids_;
+    Millis ttl_;
+    std::uint64_t pendingOp_ = 0;
+    bool isRegistered_ = false;
+    bool isRemoving_ = false;
+    bool isRemoved_ = false;
+    Instant nextCall_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/node/gateway_duties.cc
@@ -0,0 +1,92 @@
+#include "ragwortwinch/node/gateway_duties.h"
+
+#include "platform/duty_calls.h"
+#include "ragwortwinch/base/digest.h"
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr const char* usageShard = "0";
+constexpr const char* dutyName = "control";
+constexpr Millis retryInterval{500};
+
+LeaseOptions leaseOptions(const GatewaySettings& settings)
+{
+    return {settings.leaseTtl, settings.clockMargin, settings.sendBound, retryInterval, false};
+}
+
+} // namespace
+
+bool isFirstForDuty(
+    const std::string& duty, const std::string& self, const std::set<std::string>& candidates)
+{
+    std::string ownHash = sha256Hex(duty + "/" + self);
+    for (const std::string& candidate : candidates) {
+        if (sha256Hex(duty + "/" + candidate) > ownHash)
+            return false;
+    }
+    return true;
+}
+
+GatewayDuties::GatewayDuties(const GatewaySettings& settings, const std::string& incarnation,
+    asio::io_context& context, StoreRunner& runner, OpIds& ids)
+    : settings_(settings)
+    , context_(context)
+    , runner_(runner)
+    , lease_(dutyName, settings.node, incarnation, ids, leaseOptions(settings))
+    , closer_(usageShard, ids, {settings.usageWindow, settings.usageGrace, retryInterval})
+    , sender_(settings.sendBound)
+{
+}
+
+Authority GatewayDuties::authority(Instant now) const
+{
+    if (!lease_.isHeld(now))
+        return {};
+    return {lease_.epoch(), lease_.isQuietPeriodOver(now)};
+}
+
+void GatewayDuties::tickLease(Instant now, const std::set<std::string>& candidates)
+{
+    if (isReleasing_ && sender_.isIdle())
+        lease_.release();
+    else
+        lease_.setWanted(!isReleasing_ && isFirstForDuty(dutyName, settings_.node, candidates));
+    runner_.run(lease_.tick(now),
+        [this](Instant at, const StoreAnswer& answer) { return lease_.onAnswer(at, answer); });
+}
+
+void GatewayDuties::reportUsage(Instant now, std::int64_t unixMillis)
+{
+    Authority held = authority(now);
+    runner_.run(closer_.tick(now, unixMillis, held),
+        [this](Instant at, const StoreAnswer& answer) { return closer_.onAnswer(at, answer); });
+    if (!sender_.isIdle())
+        return;
+    std::optional<ClosedWindow> report = closer_.takeReport(now, held);
+    if (!report)
+        return;
+    AuthoritySend send = platform::usageReport(
+        settings_.dutyUrl, {settings_.node, lease_.epoch()}, report->window, report->figures);
+    send.authorityEnd = lease_.authorityEnd();
+    sender_.post(std::move(send), [this, window = report->window](SendOutcome outcome) {
+        asio::post(context_, [this, window, outcome] { closer_.onReportResult(window, outcome); });
+    });
+}
+
+void GatewayDuties::tick(Instant now, std::int64_t unixMillis, const std::set<std::string>& candidates)
+{
+    tickLease(now, candidates);
+    reportUsage(now, unixMillis);
+}
+
+Json GatewayDuties::dump(Instant now) const
+{
+    return {{"duty", lease_.duty()}, {"state", leaseStateNames.name(lease_.state())},
+        {"epoch", lease_.epoch()}, {"held", lease_.isHeld(now)},
+        {"quiet_period_over", lease_.isQuietPeriodOver(now)}, {"holder", lease_.holder()},
+        {"reported_through", closer_.reportedThrough()}};
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/node/gateway_handlers.cc
@@ -0,0 +1,68 @@
+#include "ragwortwinch/node/gateway_handlers.h"
+
+#include "platform/address_answer.h"
+#include "ragwortwinch/membership/address_choice.h"
+
+#include <prometheus/text_serializer.h>
+#include <sstream>
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+
+HttpResponse errorAnswer(int status, const char* message)
+{
+    return jsonResponse(status, Json({{"error", {{"message", message}}}}).dump());
+}
+
+} // namespace
+
+void ReadinessHandler::handle(HttpRequest request, std::shared_ptr<HttpResponder> responder)
+{
+    if (request.path != platform::readinessPath)
+        responder->send(errorAnswer(statusNotFound, "this port answers the readiness check only"));
+    else if (isReady_.load())
+        responder->send(jsonResponse(statusOk, R"({"ready":true})"));
+    else
+        responder->send(errorAnswer(statusUnavailable, "this VM takes no requests now"));
+}
+
+void AddressHandler::handle(HttpRequest request, std::shared_ptr<HttpResponder> responder)
+{
+    if (request.path != platform::addressPath) {
+        responder->send(errorAnswer(statusNotFound, "this port answers the question for addresses only"));
+        return;
+    }
+    platform::AddressQuestion question = platform::decodeAddressQuestion(request.query);
+    std::vector<VmInfo> usable = directory_.read()->usable;
+    std::vector<VmInfo> chosen
+        = chooseEntryVms(std::move(usable), question.availabilityZone, question.region);
+    if (chosen.empty())
+        responder->send(errorAnswer(statusUnavailable, "no VM is known to take requests; ask another one"));
+    else
+        responder->send(platform::addressAnswer(chosen, validity_));
+}
+
+void GatewayAdminHandler::handle(HttpRequest request, std::shared_ptr<HttpResponder> responder)
+{
+    if (request.path == "/metrics") {
+        std::ostringstream text;
+        prometheus::TextSerializer().Serialize(text, registry_.Collect());
+        HttpResponse response;
+        response.headers.add("Content-Type", "text/plain; version=0.0.4");
+        response.body = text.str();
+        responder->send(std::move(response));
+        return;
+    }
+    if (request.path == "/admin/v1/dump") {
+        dump_([responder](const Json& state) { responder->send(jsonResponse(statusOk, state.dump(1))); });
+        return;
+    }
+    responder->send(errorAnswer(statusNotFound, "use /metrics or /admin/v1/dump"));
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/node/gateway_handlers.h
@@ -0,0 +1,61 @@
+// The small HTTP interfaces of a VM in gateway mode: readiness, addresses for callers, and the operators' port.
+#pragma once
+
+#include "ragwortwinch/base/json.h"
+#include "ragwortwinch/base/snapshot.h"
+#include "ragwortwinch/entry/vm_directory.h"
+#include "ragwortwinch/net/http_server.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <prometheus/registry.h>
+
+namespace ragwortwinch {
+
+// 200 while this VM takes requests, else 503.
+class ReadinessHandler final : public HttpHandler {
+public:
+    explicit ReadinessHandler(const std::atomic<bool>& isReady)
+        : isReady_(isReady)
+    {
+    }
+    void handle(HttpRequest, std::shared_ptr<HttpResponder>) override;
+
+private:
+    const std::atomic<bool>& isReady_;
+};
+
+// Tells callers which VMs to use.
+class AddressHandler final : public HttpHandler {
+public:
+    AddressHandler(const Snapshot<VmDirectory>& directory, Millis validity)
+        : directory_(directory)
+        , validity_(validity)
+    {
+    }
+    void handle(HttpRequest, std::shared_ptr<HttpResponder>) override;
+
+private:
+    const Snapshot<VmDirectory>& directory_;
+    Millis validity_;
+};
+
+// Metrics and the dump of the process's state.
+class GatewayAdminHandler final : public HttpHandler {
+public:
+    using Dump = std::function<void(std::function<void(Json)>)>;
+
+    GatewayAdminHandler(prometheus::Registry& registry, Dump dump)
+        : registry_(registry)
+        , dump_(std::move(dump))
+    {
+    }
+    void handle(HttpRequest, std::shared_ptr<HttpResponder>) override;
+
+private:
+    prometheus::Registry& registry_;
+    Dump dump_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/node/gateway_node.cc
@@ -0,0 +1,454 @@
+#include "ragwortwinch/node/gateway_node.h"
+
+#include "platform/platform_store.h"
+#include "platform/request_codec.h"
+#include "platform/store_values.h"
+#include "ragwortwinch/base/digest.h"
+#include "ragwortwinch/base/log_event.h"
+
+#include <algorithm>
+
+namespace ragwortwinch {
+
+namespace {
+
+constexpr Millis tickInterval{50};
+constexpr int silentHeartbeats = 4;
+// An entry of a VM outlives this much silence of its process.
+constexpr Millis registrationTtl{9000};
+constexpr Millis usageFlushInterval{1000};
+// The slack of the repeat budget is shared by the VMs that may take requests, and by so many that may have
+// been replaced within its window.
+constexpr std::size_t spareVms = 2;
+constexpr Millis configRequestInterval{300};
+// Small HTTP servers of the VM.
+constexpr std::size_t maxSideConnections = 400;
+
+} // namespace
+
+GatewayNode::GatewayNode(GatewaySettings settings)
+    : settings_(std::move(settings))
+    , incarnation_(static_cast<std::uint64_t>(clock_.unixMillis()))
+    , metrics_(registry_)
+    , forwardOptions_(makeForwardOptions())
+    , codec_(platform::makeRequestCodec())
+    , traffic_(std::make_unique<std::shared_ptr<const TrafficTable>>())
+    , usage_(settings_.usageWindow)
+    , forward_(std::make_unique<ForwardServer>(*codec_, clock_, forwardOptions_, traffic_, usage_,
+          [this] { return time_.unixMillis(clock_.now()); }, std::make_unique<AffinityChooser>(), metrics_))
+    , storeClient_(makeCurlHttpClient())
+    , store_(platform::makePlatformStore(*storeClient_, settings_.storeUrl))
+    , directory_(std::make_unique<VmDirectory>())
+    , timer_(context_)
+    , runner_(context_, *store_, clock_)
+    , follower_({platform::configurationKey(), platform::endpointKeyPrefix(), vmKeyPrefix}, "",
+          FollowerOptions{}, opIds_)
+    , vms_(settings_.node, settings_.heartbeatInterval * silentHeartbeats)
+    , links_(context_, settings_.node, settings_.peerAddress, settings_.heartbeatInterval, *this)
+    , flusher_(settings_.node, std::to_string(incarnation_), opIds_, usageFlushInterval, Millis(0))
+{
+}
+
+GatewayNode::~GatewayNode()
+{
+    forward_->stop();
+    context_.stop();
+    for (std::thread* thread : {&forwardThread_, &controlThread_}) {
+        if (thread->joinable())
+            thread->join();
+    }
+    readinessServer_.reset();
+    directoryServer_.reset();
+    adminServer_.reset();
+    duties_.reset();
+    storeClient_.reset();
+}
+
+ForwardOptions GatewayNode::makeForwardOptions() const
+{
+    ForwardOptions options;
+    options.availabilityZone = settings_.availabilityZone;
+    options.region = settings_.region;
+    std::size_t vmCount = settings_.seedPeers.size() * 2 + spareVms;
+    options.repeats = {settings_.repeatRatio, settings_.repeatWindow,
+        settings_.repeatSlack / static_cast<double>(vmCount)};
+    return options;
+}
+
+Result<std::unique_ptr<HttpServer>> GatewayNode::startServer(
+    const SocketAddress& address, std::shared_ptr<HttpHandler> handler)
+{
+    HttpServerLimits limits;
+    limits.maxConnections = maxSideConnections;
+    return HttpServerBuilder()
+        .address(address.host)
+        .port(address.port)
+        .limits(limits)
+        .handler(std::move(handler))
+        .start();
+}
+
+Result<void> GatewayNode::start()
+{
+    BOOST_LEAF_ASSIGN(settings_.entryAddress.port, forward_->listen(settings_.entryAddress));
+    BOOST_LEAF_ASSIGN(settings_.peerAddress.port, links_.start());
+    BOOST_LEAF_ASSIGN(
+        readinessServer_, startServer(settings_.readinessAddress, std::make_shared<ReadinessHandler>(isReady_)));
+    BOOST_LEAF_ASSIGN(directoryServer_,
+        startServer(settings_.directoryAddress,
+            std::make_shared<AddressHandler>(directory_, settings_.answerValidity)));
+    GatewayAdminHandler::Dump dumper = [this](std::function<void(Json)> onDone) {
+        asio::post(context_, [this, onDone = std::move(onDone)] { onDone(dump(clock_.now())); });
+    };
+    BOOST_LEAF_ASSIGN(adminServer_,
+        startServer(settings_.adminAddress, std::make_shared<GatewayAdminHandler>(registry_, dumper)));
+    settings_.adminAddress.port = adminServer_->port();
+    registration_ = std::make_unique<VmRegistration>(selfInfo(), opIds_, registrationTtl);
+    duties_ = std::make_unique<GatewayDuties>(
+        settings_, std::to_string(incarnation_), context_, runner_, opIds_);
+    time_.onOwnClock(clock_.now(), clock_.unixMillis());
+    scheduleTick();
+    controlThread_ = std::thread([this] { context_.run(); });
+    forwardThread_ = std::thread([this] { forward_->run(); });
+    LogEvent("node.started")
+        .with("node", settings_.node)
+        .with("zone", settings_.availabilityZone)
+        .with("incarnation", incarnation_)
+        .with("entry", settings_.entryAddress.text())
+        .with("admin", settings_.adminAddress.text())
+        .with("peer", settings_.peerAddress.text())
+        .with("store", settings_.storeUrl);
+    return {};
+}
+
+void GatewayNode::scheduleTick()
+{
+    timer_.expires_after(tickInterval);
+    timer_.async_wait([this](const asio::error_code& error) {
+        if (error)
+            return;
+        tick();
+        scheduleTick();
+    });
+}
+
+void GatewayNode::tick()
+{
+    Instant now = clock_.now();
+    time_.onOwnClock(now, clock_.unixMillis());
+    tickStore(now);
+    tickMembership(now);
+    tickUsage(now);
+    duties_->tick(now, time_.unixMillis(now), heardPeers(now));
+    tickDrain(now);
+}
+
+void GatewayNode::tickStore(Instant now)
+{
+    runner_.run(follower_.tick(now),
+        [this](Instant at, const StoreAnswer& answer) { return follower_.onAnswer(at, answer); });
+    if (std::optional<WatchRequest> watch = follower_.takeWatch(now)) {
+        ++storeCalls_;
+        store_->watch(watch->prefix, watch->afterRevision, watch->wait, [this](WatchAnswer answer) {
+            asio::post(context_, [this, answer = std::move(answer)] {
+                follower_.onWatchAnswer(clock_.now(), answer);
+                tickStore(clock_.now());
+            });
+        });
+    }
+    for (const FollowerNews& news : follower_.takeNews())
+        onNews(now, news);
+    if (endpoints_.tick(now))
+        forward_->setEndpoints(endpoints_.records(), settings_.regions);
+}
+
+void GatewayNode::onNews(Instant now, const FollowerNews& news)
+{
+    switch (news.kind) {
+    case FollowerNews::Kind::StoreLost:
+        endpoints_.onStoreLost();
+        return;
+    case FollowerNews::Kind::StoreRegained:
+        endpoints_.onStoreRegained(now);
+        return;
+    case FollowerNews::Kind::List:
+        if (news.prefix == vmKeyPrefix)
+            onVmList(now, news.entries);
+        else if (news.prefix == platform::endpointKeyPrefix()) {
+            std::vector<EndpointRecord> records;
+            for (const StoreEntry& entry : news.entries) {
+                if (std::optional<EndpointRecord> record = platform::decodeEndpoint(entry.key, entry.value))
+                    records.push_back(std::move(*record));
+            }
+            endpoints_.onList(now, records);
+        } else {
+            for (const StoreEntry& entry : news.entries) {
+                if (entry.key == platform::configurationKey())
+                    adoptConfig(entry.value, "store");
+            }
+        }
+        return;
+    case FollowerNews::Kind::Change:
+        break;
+    }
+    const StoreEvent& event = news.event;
+    if (event.key == platform::configurationKey()) {
+        if (!event.isRemoval)
+            adoptConfig(event.value, "store");
+    } else if (event.key.starts_with(vmKeyPrefix)) {
+        std::string name = event.key.substr(std::string_view(vmKeyPrefix).size());
+        if (event.isRemoval)
+            listedVms_.erase(name);
+        else if (std::optional<VmInfo> vm = decodeVmEntry(event.value))
+            listedVms_[name] = *vm;
+    } else if (event.isRemoval)
+        endpoints_.onRemoved(now, event.key.substr(platform::endpointKeyPrefix().size()));
+    else
+        onEndpointEntry(now, event.key, event.value);
+}
+
+void GatewayNode::onVmList(Instant, const std::vector<StoreEntry>& entries)
+{
+    listedVms_.clear();
+    for (const StoreEntry& entry : entries) {
+        if (std::optional<VmInfo> vm = decodeVmEntry(entry.value))
+            listedVms_[vm->name] = *vm;
+    }
+}
+
+void GatewayNode::onEndpointEntry(Instant now, const std::string& key, const std::string& value)
+{
+    if (std::optional<EndpointRecord> record = platform::decodeEndpoint(key, value))
+        endpoints_.onPut(now, *record);
+    else
+        LogEvent("endpoint.unreadable_entry", Severity::Warning)
+            .with("key", key)
+            .with("bytes", value.size());
+}
+
+void GatewayNode::adoptConfig(const std::string& text, const std::string& source)
+{
+    std::optional<TrafficConfig> config = platform::decodeTrafficConfig(text);
+    if (!config) {
+        LogEvent("config.unreadable", Severity::Error)
+            .with("source", source)
+            .with("bytes", text.size())
+            .with("in_force", configVersion_);
+        return;
+    }
+    if (config->version <= configVersion_)
+        return;
+    LogEvent("config.adopted")
+        .with("version", config->version)
+        .with("previous", configVersion_)
+        .with("source", source)
+        .with("routes", config->routes.size())
+        .with("services", config->services.size())
+        .with("teams", config->teams.size());
+    configVersion_ = config->version;
+    configText_ = text;
+    std::shared_ptr<const TrafficTable> table = std::make_shared<TrafficTable>(std::move(*config));
+    traffic_.replace(std::make_unique<std::shared_ptr<const TrafficTable>>(std::move(table)));
+}
+
+VmInfo GatewayNode::selfInfo() const
+{
+    VmInfo vm;
+    vm.name = settings_.node;
+    vm.availabilityZone = settings_.availabilityZone;
+    vm.region = settings_.region;
+    vm.entryAddress = settings_.entryAddress;
+    vm.peerAddress = settings_.peerAddress;
+    vm.incarnation = incarnation_;
+    vm.isLeaving = isDraining_;
+    vm.isReady = !isDraining_ && configVersion_ > 0;
+    return vm;
+}
+
+std::set<std::string> GatewayNode::heardPeers(Instant now) const
+{
+    std::set<std::string> names;
+    for (const auto& [name, entry] : vms_.entries()) {
+        bool isHeard = entry.lastHeard != Instant::min()
+            && now - entry.lastHeard <= settings_.heartbeatInterval * silentHeartbeats;
+        if (isHeard && !entry.info.isLeaving)
+            names.insert(name);
+    }
+    return names;
+}
+
+void GatewayNode::tickMembership(Instant now)
+{
+    VmInfo self = selfInfo();
+    isReady_.store(self.isReady);
+    vms_.setSelf(self);
+    runner_.run(registration_->tick(now),
+        [this](Instant at, const StoreAnswer& answer) { return registration_->onAnswer(at, answer); });
+    std::vector<SocketAddress> addresses = settings_.seedPeers;
+    for (const auto& [name, vm] : listedVms_) {
+        if (name != settings_.node)
+            addresses.push_back(vm.peerAddress);
+    }
+    links_.setAddresses(addresses);
+    links_.tick(now);
+    auto next = std::make_unique<VmDirectory>(VmDirectory{vms_.usable(now)});
+    bool isSame = false;
+    {
+        Snapshot<VmDirectory>::Reader current = directory_.read();
+        isSame = std::equal(current->usable.begin(), current->usable.end(), next->usable.begin(),
+            next->usable.end(), [](const VmInfo& left, const VmInfo& right) {
+                return left.name == right.name && left.entryAddress == right.entryAddress;
+            });
+    }
+    if (!isSame) {
+        LogEvent("directory.changed").with("usable_vms", next->usable.size());
+        directory_.replace(std::move(next));
+    }
+}
+
+void GatewayNode::tickUsage(Instant now)
+{
+    runner_.run(flusher_.tick(now, usage_.totals()),
+        [this](Instant at, const StoreAnswer& answer) { return flusher_.onAnswer(at, answer); });
+    usage_.forgetBefore(usage_.windowOf(time_.unixMillis(now)) - retainedWindows);
+}
+
+PeerDigest GatewayNode::makeDigest(const std::string&)
+{
+    Instant now = clock_.now();
+    PeerDigest digest;
+    digest.sender = selfInfo();
+    digest.sequence = ++digestSequence_;
+    digest.configVersion = configVersion_;
+    digest.proofAgeMillis = (now - follower_.provedAt()).count();
+    digest.isStoreDown = follower_.isStoreLost();
+    digest.unixMillis = clock_.unixMillis();
+    for (const auto& [endpoint, running] : forward_->running())
+        digest.shares.push_back({endpoint, running, 0});
+    return digest;
+}
+
+void GatewayNode::onDigest(const std::string& peer, const PeerDigest& digest)
+{
+    Instant now = clock_.now();
+    vms_.onHeartbeat(now, digest.sender);
+    time_.onPeerClock(now, peer, digest.unixMillis);
+    peerShares_[peer] = digest.shares;
+    std::set<std::string> heard = heardPeers(now);
+    std::map<std::string, std::int64_t> elsewhere;
+    for (const auto& [name, shares] : peerShares_) {
+        if (!heard.contains(name))
+            continue;
+        for (const EndpointShare& share : shares)
+            elsewhere[share.endpoint] += share.running;
+    }
+    forward_->setRunningElsewhere(std::move(elsewhere));
+    if (digest.configVersion > configVersion_ && now >= nextConfigRequest_) {
+        nextConfigRequest_ = now + configRequestInterval;
+        links_.send(peer, encodeFrame(PeerMessageKind::ConfigRequest, {}));
+    }
+}
+
+void GatewayNode::onFrame(const std::string& peer, const PeerFrame& frame)
+{
+    if (frame.kind == PeerMessageKind::ConfigRequest && configVersion_ > 0) {
+        ConfigBody body;
+        body.head.version = configVersion_;
+        body.head.hash = sha256Hex(configText_);
+        body.head.parts = 1;
+        body.text = configText_;
+        links_.send(peer, encodeConfigBody(body));
+        return;
+    }
+    if (frame.kind != PeerMessageKind::ConfigBody)
+        return;
+    std::optional<ConfigBody> body = decodeConfigBody(frame.payload);
+    if (body && sha256Hex(body->text) == body->head.hash)
+        adoptConfig(body->text, peer);
+    else
+        LogEvent("peer.bad_config", Severity::Warning).with("peer", peer);
+}
+
+void GatewayNode::reload(GatewaySettings settings)
+{
+    asio::post(context_, [this, settings = std::move(settings)] {
+        LogEvent("settings.reloaded").with("seed_peers", settings.seedPeers.size());
+        settings_.seedPeers = settings.seedPeers;
+        settings_.regions = settings.regions;
+        forward_->setEndpoints(endpoints_.records(), settings_.regions);
+    });
+}
+
+void GatewayNode::drain()
+{
+    asio::post(context_, [this] {
+        if (isDraining_)
+            return;
+        isDraining_ = true;
+        drainStart_ = clock_.now();
+        LogEvent("node.draining")
+            .with("node", settings_.node)
+            .with("busy_connections", forward_->sessionsWithRequests());
+        forward_->beginDrain();
+        registration_->remove();
+        duties_->releaseAll();
+        flusher_.flushSoon();
+    });
+}
+
+void GatewayNode::tickDrain(Instant now)
+{
+    if (!isDraining_)
+        return;
+    // Until then callers may hold an answer that names this VM.
+    Instant answersLapse = drainStart_ + settings_.answerValidity + settings_.heartbeatInterval;
+    if (now < answersLapse)
+        return;
+    forward_->closeIdleSessions();
+    flusher_.flushSoon();
+    bool isFinished = forward_->sessionsWithRequests() == 0 && duties_->isReleased()
+        && flusher_.hasFlushed(usage_.totals());
+    if (!isFinished && now < drainStart_ + settings_.stopBound)
+        return;
+    LogEvent("node.stopped")
+        .with("node", settings_.node)
+        .with("busy_connections", forward_->sessionsWithRequests())
+        .with("usage_flushed", flusher_.hasFlushed(usage_.totals()))
+        .with("ms", (now - drainStart_).count());
+    {
+        std::lock_guard<std::mutex> lock(endMutex_);
+        hasEnded_ = true;
+    }
+    ended_.notify_all();
+}
+
+void GatewayNode::waitUntilDrained()
+{
+    std::unique_lock<std::mutex> lock(endMutex_);
+    ended_.wait(lock, [this] { return hasEnded_; });
+}
+
+Json GatewayNode::dump(Instant now) const
+{
+    Json vms = Json::array();
+    for (const auto& [name, entry] : vms_.entries())
+        vms.push_back({{"name", name}, {"ready", entry.info.isReady}, {"leaving", entry.info.isLeaving},
+            {"entry", entry.info.entryAddress.text()},
+            {"heard_ms_ago",
+                entry.lastHeard == Instant::min() ? -1 : (now - entry.lastHeard).count()}});
+    Json endpoints = Json::array();
+    std::map<std::string, std::int64_t> running = forward_->running();
+    for (const EndpointRecord& record : endpoints_.records())
+        endpoints.push_back({{"id", record.id}, {"service", record.service},
+            {"address", record.address.text()}, {"zone", record.availabilityZone},
+            {"role", engineRoleNames.name(record.role)}, {"draining", record.isDraining},
+            {"running_here", running.contains(record.id) ? running.at(record.id) : 0}});
+    return {{"node", settings_.node}, {"incarnation", incarnation_}, {"draining", isDraining_},
+        {"config_version", configVersion_}, {"store_lost", follower_.isStoreLost()},
+        {"store_answered_ms_ago", (now - follower_.provedAt()).count()},
+        {"store_calls", runner_.calls() + storeCalls_}, {"clock_error_ms", time_.ownErrorMillis()},
+        {"peer_bytes_sent", links_.bytesSent()}, {"dropped_log_lines", droppedLogLines()},
+        {"duty", duties_->dump(now)}, {"vms", vms}, {"endpoints", endpoints}};
+}
+
+} // namespace ragwortwinch
--- a/ragwortwinch/node/ragwortwinchd_main.cc
+++ b/ragwortwinch/node/ragwortwinchd_main.cc
@@ -1,11 +1,14 @@
 // The daemon that runs on every entry VM.
 #include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/node/gateway_node.h"
 #include "ragwortwinch/node/node.h"
 
 #include <boost/program_options.hpp>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
+#include <functional>
 #include <iostream>
 #include <thread>
 
@@ -16,26 +19,37 @@
 constexpr int exitUsage = 2;
 constexpr int exitBadSettings = 3;
 
-// Blocks the signals that stop the daemon, so that only `waitForSignal` gets them.
-sigset_t blockStopSignals()
+sigset_t watchedSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
+    for (int signal : {SIGTERM, SIGINT, SIGHUP})
+        sigaddset(&signals, signal);
+    return signals;
+}
+
+// Blocks the watched signals in all threads, so that only the waiting one gets them.
+void blockSignals()
+{
+    sigset_t signals = watchedSignals();
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
-    return signals;
 }
 
-int runNode(ragwortwinch::Settings settings)
+// Prints the ports that the process listens on, which the operating system may have chosen.
+template <typename AnyNode> void printPorts(const AnyNode& node)
+{
+    std::printf("started entry_port=%u admin_port=%u peer_port=%u\n", static_cast<unsigned>(node.entryPort()),
+        static_cast<unsigned>(node.adminPort()), static_cast<unsigned>(node.peerPort()));
+    std::fflush(stdout);
+}
+
+// Starts `node`, serves until SIGTERM has drained it, and ends the process. `onHangUp` runs on SIGHUP.
+template <typename AnyNode> int runNode(AnyNode& node, const std::function<void()>& onHangUp)
 {
-    sigset_t signals = blockStopSignals();
-    // Never destroyed: requests that outlive the drain's bound end with the process.
-    ragwortwinch::Node* node = new ragwortwinch::Node(std::move(settings));
     int failure = ragwortwinch::handleErrors(
         [&]() -> ragwortwinch::Result<int> {
-            BOOST_LEAF_CHECK(node->start());
+            BOOST_LEAF_CHECK(node.start());
             return 0;
         },
         [](const ragwortwinch::Error& error) {
@@ -44,19 +58,77 @@
         });
     if (failure)
         std::_Exit(failure);
-    std::printf("started entry_port=%u admin_port=%u peer_port=%u\n",
-        static_cast<unsigned>(node->entryPort()), static_cast<unsigned>(node->adminPort()),
-        static_cast<unsigned>(node->peerPort()));
-    std::fflush(stdout);
-    std::thread([node, signals] {
-        int signal = 0;
-        sigwait(&signals, &signal);
-        node->drain();
+    printPorts(node);
+    std::thread([&node, onHangUp] {
+        sigset_t signals = watchedSignals();
+        while (true) {
+            int signal = 0;
+            sigwait(&signals, &signal);
+            if (signal == SIGHUP)
+                onHangUp();
+            else
+                node.drain();
+        }
     }).detach();
-    node->waitUntilDrained();
+    node.waitUntilDrained();
+    ragwortwinch::flushLogs();
     std::_Exit(0);
 }
 
+// Reads the settings again and hands them to the node; bad ones change nothing.
+void reloadGateway(ragwortwinch::GatewayNode& node, const std::string& path)
+{
+    ragwortwinch::handleErrors(
+        [&]() -> ragwortwinch::Result<int> {
+            BOOST_LEAF_AUTO(text, ragwortwinch::readFile(path, ragwortwinch::ErrorKind::BadSettings));
+            BOOST_LEAF_AUTO(settings, ragwortwinch::parseGatewaySettings(text));
+            node.reload(std::move(settings));
+            return 0;
+        },
+        [](const ragwortwinch::Error& error) {
+            ragwortwinch::LogEvent("settings.not_reloaded", ragwortwinch::Severity::Error)
+                .with("problem", error.message);
+            return 0;
+        });
+}
+
+// Looks every second whether the settings file has changed, since not every change is signalled.
+void watchSettingsFile(ragwortwinch::GatewayNode& node, const std::string& path)
+{
+    std::thread([&node, path] {
+        std::error_code ignored;
+        std::filesystem::file_time_type seen = std::filesystem::last_write_time(path, ignored);
+        while (true) {
+            std::this_thread::sleep_for(std::chrono::seconds(1));
+            std::filesystem::file_time_type written = std::filesystem::last_write_time(path, ignored);
+            if (written == seen)
+                continue;
+            seen = written;
+            reloadGateway(node, path);
+        }
+    }).detach();
+}
+
+// Both nodes are never destroyed: requests that outlive the drain's bound end with the process.
+ragwortwinch::Result<int> runWithSettings(const std::string& path, const std::string& text, bool isCheckOnly)
+{
+    if (ragwortwinch::isGatewaySettings(text)) {
+        BOOST_LEAF_AUTO(settings, ragwortwinch::parseGatewaySettings(text));
+        if (isCheckOnly)
+            return 0;
+        blockSignals();
+        ragwortwinch::GatewayNode* node = new ragwortwinch::GatewayNode(std::move(settings));
+        watchSettingsFile(*node, path);
+        return runNode(*node, [node, path] { reloadGateway(*node, path); });
+    }
+    BOOST_LEAF_AUTO(settings, ragwortwinch::parseSettings(text));
+    if (isCheckOnly)
+        return 0;
+    blockSignals();
+    ragwortwinch::Node* node = new ragwortwinch::Node(std::move(settings));
+    return runNode(*node, [] { ragwortwinch::LogEvent("settings.hang_up_ignored"); });
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -73,7 +145,7 @@
         return exitUsage;
     }
     if (values.contains("help")) {
-        std::cout << description << "\nSIGTERM starts a graceful shutdown. See docs/OPERATING.md.\n";
+        std::cout << description << "\nSIGTERM starts a graceful shutdown. See docs/OPERATIONS.md.\n";
         return 0;
     }
     if (!values.contains("settings")) {
@@ -83,8 +155,9 @@
     ragwortwinch::startLogging();
     return ragwortwinch::handleErrors(
         [&]() -> ragwortwinch::Result<int> {
-            BOOST_LEAF_AUTO(settings, ragwortwinch::loadSettings(values["settings"].as<std::string>()));
-            return values.contains("check") ? 0 : runNode(std::move(settings));
+            std::string path = values["settings"].as<std::string>();
+            BOOST_LEAF_AUTO(text, ragwortwinch::readFile(path, ragwortwinch::ErrorKind::BadSettings));
+            return runWithSettings(path, text, values.contains("check"));
         },
         [](const ragwortwinch::Error& error) {
             std::cerr << error.message << std::endl;
--- /dev/null
+++ b/ragwortwinch/store/store_follower_test.cc
@@ -0,0 +1,97 @@
+#include "ragwortwinch/store/store_follower.h"
+
+#include <doctest/doctest.h>
+
+namespace ragwortwinch {
+namespace {
+
+Instant at(int millis)
+{
+    return Instant(Millis(50000 + millis));
+}
+
+StoreAnswer listAnswer(const StoreOp& op, std::uint64_t revision, std::vector<StoreEntry> entries = {})
+{
+    StoreAnswer answer;
+    answer.opId = op.id;
+    answer.status = StoreStatus::Ok;
+    answer.revision = revision;
+    answer.entries = std::move(entries);
+    return answer;
+}
+
+WatchAnswer watchAnswer(WatchStatus status, std::uint64_t revision, std::vector<StoreEvent> events = {})
+{
+    return {status, std::move(events), revision};
+}
+
+// A follower of two prefixes that has listed both.
+struct Fixture {
+    OpIds ids;
+    StoreFollower follower{{"op/", "servers/"}, "", FollowerOptions{}, ids};
+
+    void listBoth(int when)
+    {
+        StoreOps first = follower.tick(at(when));
+        REQUIRE(first.size() == 1);
+        StoreOps second = follower.onAnswer(at(when), listAnswer(first[0], 9, {{"op/config", "x", 4}}));
+        REQUIRE(second.size() == 1);
+        CHECK(second[0].key == "servers/");
+        follower.onAnswer(at(when), listAnswer(second[0], 12));
+        follower.takeNews();
+    }
+};
+
+TEST_CASE("the watch starts where the first list was read")
+{
+    Fixture fixture;
+    fixture.listBoth(0);
+    std::optional<WatchRequest> watch = fixture.follower.takeWatch(at(0));
+    REQUIRE(watch.has_value());
+    CHECK(watch->afterRevision == 9);
+    CHECK_FALSE(fixture.follower.takeWatch(at(0)).has_value());
+}
+
+TEST_CASE("watches are paced, and changes of other keys are left out")
+{
+    Fixture fixture;
+    fixture.listBoth(0);
+    fixture.follower.takeWatch(at(0));
+    fixture.follower.onWatchAnswer(at(10),
+        watchAnswer(WatchStatus::Ok, 14, {{"servers/a", "v", 13, false}, {"usage/x", "v", 14, false}}));
+    std::vector<FollowerNews> news = fixture.follower.takeNews();
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].event.key == "servers/a");
+    CHECK_FALSE(fixture.follower.takeWatch(at(400)).has_value());
+    CHECK(fixture.follower.takeWatch(at(500))->afterRevision == 14);
+}
+
+TEST_CASE("after a gap in the history everything is listed again")
+{
+    Fixture fixture;
+    fixture.listBoth(0);
+    fixture.follower.takeWatch(at(0));
+    fixture.follower.onWatchAnswer(at(10), watchAnswer(WatchStatus::HistoryLost, 0));
+    CHECK(fixture.follower.tick(at(10)).size() == 1);
+}
+
+TEST_CASE("an outage is reported once, and the watch goes on where it was")
+{
+    Fixture fixture;
+    fixture.listBoth(0);
+    fixture.follower.takeWatch(at(0));
+    fixture.follower.onWatchAnswer(at(10), watchAnswer(WatchStatus::Unavailable, 0));
+    CHECK(fixture.follower.takeNews().size() == 1);
+    CHECK_FALSE(fixture.follower.takeWatch(at(300)).has_value());
+    CHECK(fixture.follower.takeWatch(at(510))->afterRevision == 9);
+    fixture.follower.onWatchAnswer(at(520), watchAnswer(WatchStatus::Unavailable, 0));
+    CHECK(fixture.follower.takeNews().empty());
+    fixture.follower.takeWatch(at(1100));
+    fixture.follower.onWatchAnswer(at(1110), watchAnswer(WatchStatus::Ok, 20));
+    std::vector<FollowerNews> news = fixture.follower.takeNews();
+    REQUIRE(news.size() == 1);
+    CHECK(news[0].kind == FollowerNews::Kind::StoreRegained);
+}
+
+} // namespace
+} // namespace ragwortwinch
