--- a/ragwortwinch/config/gateway_settings.h
+++ b/ragwortwinch/config/gateway_settings.h
@@ -32,7 +32,7 @@
     // The region of each availability zone.
     std::map<std::string, std::string> regions;
 
-    Millis heartbeatInterval{500};
+    Millis heartbeatInterval{200};
     Millis leaseTtl{2000};
     Millis clockMargin{200};
     // The longest that one call under a duty may take.
--- a/ragwortwinch/forward/endpoint_chooser.cc
+++ b/ragwortwinch/forward/endpoint_chooser.cc
@@ -1,7 +1,8 @@
 #include "ragwortwinch/forward/endpoint_chooser.h"
 
+#include "ragwortwinch/forward/internal/rendezvous.h"
+
 #include <algorithm>
-#include <functional>
 #include <limits>
 
 namespace ragwortwinch {
@@ -14,21 +15,6 @@
 // The load, as a part of its slots, from which a nearer group of endpoints is left for a farther one.
 constexpr double spillOccupancy = 0.8;
 
-std::uint64_t mix(std::uint64_t value)
-{
-    value ^= value >> 33;
-    value *= 0xff51afd7ed558ccdULL;
-    value ^= value >> 33;
-    value *= 0xc4ceb9fe1a85ec53ULL;
-    value ^= value >> 33;
-    return value;
-}
-
-std::uint64_t rendezvousWeight(std::uint64_t affinity, const UpstreamEndpoint& endpoint)
-{
-    return mix(affinity ^ mix(std::hash<std::string>()(endpoint.record.id)));
-}
-
 double occupancy(const UpstreamEndpoint& endpoint)
 {
     return static_cast<double>(endpoint.load())
@@ -63,7 +49,7 @@
     std::vector<std::pair<std::uint64_t, UpstreamPointer>> ranked;
     ranked.reserve(group.size());
     for (const UpstreamPointer& endpoint : group)
-        ranked.emplace_back(rendezvousWeight(query.affinity, *endpoint), endpoint);
+        ranked.emplace_back(internal::rendezvousWeight(query.affinity, endpoint->record.id), endpoint);
     std::sort(ranked.begin(), ranked.end(),
         [](const std::pair<std::uint64_t, UpstreamPointer>& left,
             const std::pair<std::uint64_t, UpstreamPointer>& right) { return left.first > right.first; });
--- a/ragwortwinch/forward/endpoint_directory.cc
+++ b/ragwortwinch/forward/endpoint_directory.cc
@@ -38,11 +38,13 @@
     endpoints_ = std::move(next);
 }
 
-void EndpointDirectory::setRunningElsewhere(const std::map<std::string, std::int64_t>& running)
+void EndpointDirectory::setWorkElsewhere(const std::map<std::string, EndpointWork>& work)
 {
     for (const auto& [key, endpoint] : endpoints_) {
-        auto found = running.find(key.first);
-        endpoint->runningElsewhere = found == running.end() ? 0 : found->second;
+        auto found = work.find(key.first);
+        EndpointWork known = found == work.end() ? EndpointWork{} : found->second;
+        endpoint->runningElsewhere = known.running;
+        endpoint->prompts.setElsewhere(known.promptTokens);
     }
 }
 
--- a/ragwortwinch/forward/endpoint_directory.h
+++ b/ragwortwinch/forward/endpoint_directory.h
@@ -16,12 +16,19 @@
 
 namespace ragwortwinch {
 
+// The work that VMs have at one endpoint.
+struct EndpointWork {
+    std::int64_t running = 0;
+    // Prompt tokens that it has yet to read.
+    std::int64_t promptTokens = 0;
+};
+
 class EndpointDirectory {
 public:
     // `regions` names the region of each availability zone.
     void update(const std::vector<EndpointRecord>& records, const std::map<std::string, std::string>& regions);
-    // Requests of other VMs that run on each endpoint, by id.
-    void setRunningElsewhere(const std::map<std::string, std::int64_t>& running);
+    // The work of other VMs at each endpoint, by id.
+    void setWorkElsewhere(const std::map<std::string, EndpointWork>& work);
 
     const std::vector<UpstreamPointer>& ofService(const std::string& service) const;
     // The service's endpoints with one of the roles that can run whole requests, or those that only read
--- /dev/null
+++ b/ragwortwinch/forward/engine_chooser.cc
@@ -0,0 +1,75 @@
+#include "ragwortwinch/forward/engine_chooser.h"
+
+#include "ragwortwinch/forward/internal/rendezvous.h"
+
+#include <algorithm>
+
+namespace ragwortwinch {
+
+namespace {
+
+// The engine that is expected to have read the shared parts for the other VMs as well.
+const UpstreamEndpoint* homeEngine(std::uint64_t affinity, const std::vector<UpstreamPointer>& engines)
+{
+    const UpstreamEndpoint* best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const UpstreamPointer& engine : engines) {
+        if (!engine->isUsable() || engine->record.role != EngineRole::Prefill)
+            continue;
+        std::uint64_t weight = internal::rendezvousWeight(affinity, engine->record.id);
+        if (!best || weight > bestWeight) {
+            best = engine.get();
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+double roundTripMillis(Distance distance)
+{
+    switch (distance) {
+    case Distance::SameZone:
+        return 1;
+    case Distance::SameRegion:
+        return 2;
+    case Distance::OtherRegion:
+        return 25;
+    }
+    return 0;
+}
+
+std::optional<EngineChoice> EngineChooser::choose(const PlacementQuery& query,
+    const std::vector<PromptPart>& parts, std::int64_t promptTokens,
+    const std::vector<UpstreamPointer>& engines, Instant now) const
+{
+    UpstreamPointer dueTry;
+    std::vector<UpstreamPointer> usable = usableCandidates(query, engines, now, dueTry);
+    if (dueTry)
+        usable = {dueTry};
+    const UpstreamEndpoint* home = query.affinity ? homeEngine(query.affinity, usable) : nullptr;
+    std::int64_t sharedTokens = 0;
+    for (std::size_t index = 0; index + 1 < parts.size(); ++index)
+        sharedTokens += parts[index].tokens;
+    std::optional<EngineChoice> best;
+    double bestScore = 0;
+    for (const UpstreamPointer& engine : usable) {
+        std::int64_t kept = engine.get() == home ? sharedTokens : engine->cache.keptTokens(parts);
+        std::int64_t toRead = std::max<std::int64_t>(0, promptTokens - kept);
+        bool isPrefill = engine->record.role == EngineRole::Prefill;
+        double speedPart = isPrefill ? 1 : decodeReadSpeed;
+        double wait = engine->prompts.waitMillis() / speedPart;
+        double read = static_cast<double>(toRead) / (engine->prompts.tokensPerMilli() * speedPart);
+        double way = roundTripMillis(distanceOf(query, *engine));
+        double score = wait + read * readWeight + way * wayWeight;
+        if (best && score >= bestScore)
+            continue;
+        bestScore = score;
+        double total = wait + read + way + handOverMillis;
+        best = EngineChoice{engine, toRead, Millis(static_cast<std::int64_t>(total))};
+    }
+    return best;
+}
+
+} // namespace ragwortwinch
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -50,7 +50,7 @@
         return;
     armDeadline();
     if (wantsPrefill())
-        startPrefill();
+        placePrompt();
     else
         place();
 }
@@ -173,52 +173,92 @@
         && request_->caller.promptTokens >= context_.options.minPrefillTokens;
 }
 
-void Exchange::startPrefill()
+void Exchange::placePrompt()
 {
-    hasPrefilled_ = true;
-    UpstreamPointer engine = context_.chooser.choose(
-        makeQuery(), context_.endpoints.prefillers(service_), context_.clock.now());
-    if (!engine) {
-        place();
+    std::optional<EngineChoice> choice = EngineChooser().choose(makeQuery(), request_->caller.promptParts,
+        request_->caller.promptTokens, context_.endpoints.ofService(service_), context_.clock.now());
+    Millis elapsed = context_.clock.now() - startedAt_;
+    if (!choice || choice->firstToken + elapsed > std::min(route_->targetLatency, timeLeft() + elapsed)) {
+        refuse(ErrorKind::NoCapacity, "the engines can't read the prompt in time; it was not run");
         return;
     }
-    ForwardedFields own = ownFields(engine);
+    if (choice->engine->record.role == EngineRole::Prefill)
+        startPrefill(*choice);
+    else
+        sendPrompt(*choice);
+}
+
+void Exchange::sendPrompt(const EngineChoice& choice)
+{
+    ticketEngine_ = choice.engine;
+    ticket_ = choice.engine->prompts.onSent(choice.tokensToRead, context_.clock.now());
+    choice.engine->cache.onRead(request_->caller.promptParts);
+    send(choice.engine);
+}
+
+void Exchange::startPrefill(const EngineChoice& choice)
+{
+    hasPrefilled_ = true;
+    ticketEngine_ = choice.engine;
+    ticket_ = choice.engine->prompts.onSent(choice.tokensToRead, context_.clock.now());
+    choice.engine->cache.onRead(request_->caller.promptParts);
+    ForwardedFields own = ownFields(choice.engine);
     own.isPrefill = true;
     AttemptOptions options = attemptOptions();
     // The prompt can be read elsewhere, so a silent engine is left early on any route.
     options.firstByteTimeout = route_->targetLatency * context_.options.silentTargets;
     options.maxIdlePart = ChannelPool::usedIdlePart;
-    prefill_ = std::make_shared<PrefillStep>(context_, engine,
+    prefill_ = std::make_shared<PrefillStep>(context_, choice.engine,
         [self = shared_from_this()](const PrefillResult& result) { self->onPrefillDone(result); });
-    engine->pendingPromptTokens += request_->caller.promptTokens;
     prefill_->start(makeHead(own), body_, options);
 }
 
+void Exchange::closeTicket(bool wasRead)
+{
+    if (!ticket_)
+        return;
+    if (wasRead)
+        ticketEngine_->prompts.onRead(*ticket_, context_.clock.now());
+    else
+        ticketEngine_->prompts.onDropped(*ticket_);
+    ticket_.reset();
+    ticketEngine_.reset();
+}
+
 void Exchange::onPrefillDone(const PrefillResult& result)
 {
     std::shared_ptr<PrefillStep> step = std::move(prefill_);
     if (isDone_)
         return;
     Instant now = context_.clock.now();
-    result.endpoint->pendingPromptTokens -= request_->caller.promptTokens;
+    closeTicket(!result.handle.empty());
     context_.metrics.onAttemptEnd(service_, result.end);
     if (!result.handle.empty()) {
         result.endpoint->outcomes.onSuccess(now);
         cacheSource_ = result.endpoint->record.address.text() + "/" + result.handle;
         cacheHolder_ = result.endpoint;
-    } else {
-        if (result.end == AttemptEnd::Misdirected)
-            result.endpoint->isMisdirected = true;
-        else if (result.end == AttemptEnd::NotConnected)
-            result.endpoint->outcomes.onUnreachable(now);
-        else if (result.end != AttemptEnd::NotExecuted)
-            result.endpoint->outcomes.onFailure(now);
-        if (context_.log.takeFailure(now))
-            LogEvent("request.prefill_failed", Severity::Warning)
-                .with("request", request_->caller.id)
-                .with("endpoint", result.endpoint->record.id)
-                .with("end", attemptEndNames.name(result.end));
+        place();
+        return;
     }
+    if (result.end == AttemptEnd::Misdirected)
+        result.endpoint->isMisdirected = true;
+    else if (result.end == AttemptEnd::NotConnected)
+        result.endpoint->outcomes.onUnreachable(now);
+    else if (result.end != AttemptEnd::NotExecuted)
+        result.endpoint->outcomes.onFailure(now);
+    if (context_.log.takeFailure(now))
+        LogEvent("request.prefill_failed", Severity::Warning)
+            .with("request", request_->caller.id)
+            .with("endpoint", result.endpoint->record.id)
+            .with("end", attemptEndNames.name(result.end));
+    // An engine that refused has had the request; the next one is a repeat. Nothing has run in any case.
+    bool isRepeat = result.end != AttemptEnd::NotConnected;
+    if (isRepeat && !context_.budgetOf(service_).tryTake(now)) {
+        context_.metrics.onBudgetEmpty(service_);
+        refuse(ErrorKind::NoCapacity, "the engine did not read the prompt; the request was not run");
+        return;
+    }
+    tried_.push_back(result.endpoint.get());
     place();
 }
 
@@ -340,6 +380,7 @@
         return;
     }
     if (isEventReply_) {
+        closeTicket(true);
         relayEvents(events_.append(piece));
         return;
     }
@@ -396,6 +437,7 @@
 void Exchange::judge(AttemptEnd end)
 {
     lastEnd_ = end;
+    closeTicket(false);
     std::shared_ptr<Attempt> attempt = std::move(attempt_);
     Instant now = context_.clock.now();
     UpstreamEndpoint& endpoint = *attempt->endpoint();
@@ -540,11 +582,10 @@
     if (attempt_)
         attempt_->cancel();
     attempt_.reset();
-    if (prefill_) {
-        prefill_->endpoint()->pendingPromptTokens -= request_->caller.promptTokens;
+    if (prefill_)
         prefill_->cancel();
-        prefill_.reset();
-    }
+    prefill_.reset();
+    closeTicket(false);
     if (cacheHolder_)
         freeHandle(context_, cacheHolder_, cacheSource_.substr(cacheSource_.find('/') + 1));
     cacheHolder_.reset();
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -10,6 +10,7 @@
 
 #include "ragwortwinch/base/error.h"
 #include "ragwortwinch/forward/attempt.h"
+#include "ragwortwinch/forward/engine_chooser.h"
 #include "ragwortwinch/forward/event_stream.h"
 #include "ragwortwinch/forward/forward_context.h"
 #include "ragwortwinch/forward/forward_request.h"
@@ -56,7 +57,10 @@
     bool wantsPrefill() const;
     std::uint64_t affinityKey() const;
     PlacementQuery makeQuery() const;
-    void startPrefill();
+    // Chooses the engine for a long prompt; refuses what can't be answered in time.
+    void placePrompt();
+    void startPrefill(const EngineChoice& choice);
+    void sendPrompt(const EngineChoice& choice);
     void onPrefillDone(const PrefillResult& result);
     void place();
     void send(const UpstreamPointer& endpoint);
@@ -77,6 +81,7 @@
     void fail(int status, RequestOutcome outcome, ErrorKind kind, const std::string& message);
     void sendOwn(int status, ErrorKind kind, const std::string& message, Millis retryAfter);
     void finish(RequestOutcome outcome, int status);
+    void closeTicket(bool wasRead);
     void countUsage();
     void logEnd(RequestOutcome outcome, int status);
 
@@ -103,6 +108,9 @@
     bool mayHaveRun_ = false;
     bool isUsageCounted_ = false;
     bool hasPrefilled_ = false;
+    // The prompt that an engine is reading, and the engine.
+    std::optional<PromptTicket> ticket_;
+    UpstreamPointer ticketEngine_;
     // Of the last attempt, for the log.
     AttemptEnd lastEnd_ = AttemptEnd::NotConnected;
     std::string lastEndpoint_;
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // How often idle connections are looked at and the loads told to the peers are renewed.
-constexpr Millis sweepInterval{200};
+constexpr Millis sweepInterval{100};
 // After an accept failed for want of descriptors.
 constexpr Millis acceptPause{50};
 
@@ -119,10 +119,10 @@
 {
     std::vector<UpstreamPointer> endpoints = endpoints_.all();
     context_.pool.sweep(endpoints, context_.clock.now());
-    std::map<std::string, std::int64_t> running;
+    std::map<std::string, EndpointWork> work;
     for (const UpstreamPointer& endpoint : endpoints) {
         if (endpoint->running)
-            running[endpoint->record.id] += endpoint->running;
+            work[endpoint->record.id] = {endpoint->running, endpoint->prompts.ownTokens()};
     }
     std::size_t busy = 0;
     for (const std::shared_ptr<CallerSession>& session : sessions_)
@@ -130,14 +130,14 @@
     busySessions_.store(busy);
     metrics_.setSessions(sessions_.size());
     metrics_.setHeldBytes(heldBytes_);
-    std::lock_guard<std::mutex> lock(runningMutex_);
-    running_ = std::move(running);
+    std::lock_guard<std::mutex> lock(workMutex_);
+    work_ = std::move(work);
 }
 
-std::map<std::string, std::int64_t> ForwardServer::running() const
+std::map<std::string, EndpointWork> ForwardServer::work() const
 {
-    std::lock_guard<std::mutex> lock(runningMutex_);
-    return running_;
+    std::lock_guard<std::mutex> lock(workMutex_);
+    return work_;
 }
 
 void ForwardServer::setEndpoints(std::vector<EndpointRecord> records, std::map<std::string, std::string> regions)
@@ -147,10 +147,9 @@
     });
 }
 
-void ForwardServer::setRunningElsewhere(std::map<std::string, std::int64_t> running)
+void ForwardServer::setWorkElsewhere(std::map<std::string, EndpointWork> work)
 {
-    boost::asio::post(
-        io_, [this, running = std::move(running)] { endpoints_.setRunningElsewhere(running); });
+    boost::asio::post(io_, [this, work = std::move(work)] { endpoints_.setWorkElsewhere(work); });
 }
 
 void ForwardServer::beginDrain()
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -40,9 +40,10 @@
     void stop();
 
     void setEndpoints(std::vector<EndpointRecord> records, std::map<std::string, std::string> regions);
-    void setRunningElsewhere(std::map<std::string, std::int64_t> running);
-    // Requests of this VM that run on each endpoint, by id; a fraction of a second old.
-    std::map<std::string, std::int64_t> running() const;
+    // The work of the other VMs at each endpoint, by id.
+    void setWorkElsewhere(std::map<std::string, EndpointWork> work);
+    // The work of this VM at each endpoint, by id; a fraction of a second old.
+    std::map<std::string, EndpointWork> work() const;
     // From now on each answer closes its connection.
     void beginDrain();
     // Closes connections without a request, and answers new requests with "not run".
@@ -73,8 +74,8 @@
     std::size_t heldBytes_ = 0;
     std::atomic<bool> isDraining_{false};
     std::atomic<std::size_t> busySessions_{0};
-    mutable std::mutex runningMutex_;
-    std::map<std::string, std::int64_t> running_;
+    mutable std::mutex workMutex_;
+    std::map<std::string, EndpointWork> work_;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/upstream_endpoint.h
+++ b/ragwortwinch/forward/upstream_endpoint.h
@@ -3,7 +3,9 @@
 // Belongs to the forwarding thread.
 #pragma once
 
+#include "ragwortwinch/forward/engine_load.h"
 #include "ragwortwinch/forward/outcome_tracker.h"
+#include "ragwortwinch/forward/prompt_cache_model.h"
 #include "ragwortwinch/routing/endpoint_record.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -27,8 +29,9 @@
     std::int64_t running = 0;
     // Requests of the other VMs that run on it, as they last said.
     std::int64_t runningElsewhere = 0;
-    // Prompt tokens sent there whose first event has not come back.
-    std::int64_t pendingPromptTokens = 0;
+    // Of engines: prompts to be read, and what the cache is believed to hold.
+    EngineLoad prompts;
+    PromptCacheModel cache;
     OutcomeTracker outcomes;
     // Kept connections, the latest used last.
     std::vector<std::shared_ptr<EndpointChannel>> idleChannels;
--- a/ragwortwinch/membership/peer_digest.h
+++ b/ragwortwinch/membership/peer_digest.h
@@ -15,6 +15,8 @@
     std::string endpoint;
     std::int64_t running = 0;
     std::int64_t pieces = 0;
+    // Prompt tokens that the endpoint has yet to read for it.
+    std::int64_t promptTokens = 0;
 };
 
 struct PeerDigest {
--- a/ragwortwinch/membership/peer_message.cc
+++ b/ragwortwinch/membership/peer_message.cc
@@ -114,6 +114,7 @@
         entry.endpoint = share.take<std::string>();
         entry.running = share.takeInteger();
         entry.pieces = share.takeInteger();
+        entry.promptTokens = share.takeInteger();
         digest.shares.push_back(std::move(entry));
     }
     digest.unixMillis = reader.takeInteger();
@@ -160,7 +161,7 @@
 {
     Json shares = Json::array();
     for (const EndpointShare& share : digest.shares)
-        shares.push_back(Json::array({share.endpoint, share.running, share.pieces}));
+        shares.push_back(Json::array({share.endpoint, share.running, share.pieces, share.promptTokens}));
     return toFrame(PeerMessageKind::Digest,
         Json::array({vmToJson(digest.sender), digest.sequence, digest.echo, digest.configVersion,
             digest.proofAgeMillis, digest.isStoreDown, Json(digest.leavingEndpoints), shares,
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr Millis tickInterval{50};
-constexpr int silentHeartbeats = 4;
+constexpr int silentHeartbeats = 10;
 // An entry of a VM outlives this much silence of its process.
 constexpr Millis registrationTtl{9000};
 constexpr Millis usageFlushInterval{1000};
@@ -323,8 +323,8 @@
     digest.proofAgeMillis = (now - follower_.provedAt()).count();
     digest.isStoreDown = follower_.isStoreLost();
     digest.unixMillis = clock_.unixMillis();
-    for (const auto& [endpoint, running] : forward_->running())
-        digest.shares.push_back({endpoint, running, 0});
+    for (const auto& [endpoint, work] : forward_->work())
+        digest.shares.push_back({endpoint, work.running, 0, work.promptTokens});
     return digest;
 }
 
@@ -335,14 +335,16 @@
     time_.onPeerClock(now, peer, digest.unixMillis);
     peerShares_[peer] = digest.shares;
     std::set<std::string> heard = heardPeers(now);
-    std::map<std::string, std::int64_t> elsewhere;
+    std::map<std::string, EndpointWork> elsewhere;
     for (const auto& [name, shares] : peerShares_) {
         if (!heard.contains(name))
             continue;
-        for (const EndpointShare& share : shares)
-            elsewhere[share.endpoint] += share.running;
+        for (const EndpointShare& share : shares) {
+            elsewhere[share.endpoint].running += share.running;
+            elsewhere[share.endpoint].promptTokens += share.promptTokens;
+        }
     }
-    forward_->setRunningElsewhere(std::move(elsewhere));
+    forward_->setWorkElsewhere(std::move(elsewhere));
     if (digest.configVersion > configVersion_ && now >= nextConfigRequest_) {
         nextConfigRequest_ = now + configRequestInterval;
         links_.send(peer, encodeFrame(PeerMessageKind::ConfigRequest, {}));
@@ -437,12 +439,12 @@
             {"heard_ms_ago",
                 entry.lastHeard == Instant::min() ? -1 : (now - entry.lastHeard).count()}});
     Json endpoints = Json::array();
-    std::map<std::string, std::int64_t> running = forward_->running();
+    std::map<std::string, EndpointWork> work = forward_->work();
     for (const EndpointRecord& record : endpoints_.records())
         endpoints.push_back({{"id", record.id}, {"service", record.service},
             {"address", record.address.text()}, {"zone", record.availabilityZone},
             {"role", engineRoleNames.name(record.role)}, {"draining", record.isDraining},
-            {"running_here", running.contains(record.id) ? running.at(record.id) : 0}});
+            {"running_here", work.contains(record.id) ? work.at(record.id).running : 0}});
     return {{"node", settings_.node}, {"incarnation", incarnation_}, {"draining", isDraining_},
         {"config_version", configVersion_}, {"store_lost", follower_.isStoreLost()},
         {"store_answered_ms_ago", (now - follower_.provedAt()).count()},
