Deliver events as they come

Cause: Beast's parser in eager mode goes on after a piece of a body until it needs more input, and reports the piece only then, so the end of an event stayed behind until the next event began; chats were given up by their callers after two seconds of silence. Ruled out: the kernel's readiness (the bytes could be peeked at). Change: the parser is not eager.

--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -149,7 +149,8 @@
         if (isEnded_)
             return;
     }
-    parser_->eager(true);
+    // An eager parser would keep a whole event back until the next chunk begins.
+    parser_->eager(false);
     armTimer(options_.gapTimeout, AttemptEnd::Silent);
     if (parser_->is_done())
         finishAnswer();
