--- /dev/null
+++ b/ragwortwinch/forward/decisions_test.cc
@@ -0,0 +1,182 @@
+// The decisions of the forwarding path that need no network.
+#include "ragwortwinch/forward/endpoint_chooser.h"
+#include "ragwortwinch/forward/engine_chooser.h"
+#include "ragwortwinch/forward/event_stream.h"
+#include "ragwortwinch/forward/outcome_tracker.h"
+#include "ragwortwinch/forward/repeat_budget.h"
+#include "ragwortwinch/forward/request_log.h"
+
+#include <doctest/doctest.h>
+#include <set>
+
+namespace ragwortwinch {
+namespace {
+
+Instant at(int millis)
+{
+    return Instant(Millis(1000000 + millis));
+}
+
+UpstreamPointer endpoint(const std::string& id, const std::string& zone, EngineRole role = EngineRole::None)
+{
+    UpstreamPointer value = std::make_shared<UpstreamEndpoint>();
+    value->record.id = id;
+    value->record.availabilityZone = zone;
+    value->record.slots = 8;
+    value->record.role = role;
+    value->region = "region-" + zone;
+    return value;
+}
+
+PlacementQuery query(const std::string& zone)
+{
+    PlacementQuery value;
+    value.availabilityZone = zone;
+    value.region = "region-" + zone;
+    return value;
+}
+
+TEST_CASE("repeats stay within the ratio and the slack in any window")
+{
+    RepeatBudget budget({0.2, Millis(10000), 3});
+    for (int index = 0; index < 100; ++index)
+        budget.onRequest(at(index));
+    int taken = 0;
+    while (budget.tryTake(at(200)))
+        ++taken;
+    CHECK(taken == 23);
+    CHECK_FALSE(budget.tryTake(at(9000)));
+    taken = 0;
+    while (budget.tryTake(at(11500)))
+        ++taken;
+    CHECK(taken == 3);
+}
+
+TEST_CASE("events come out whole and once, whatever pieces they arrive in")
+{
+    EventStream stream;
+    std::string input = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 2\ndata: again\n\n: note\n\nid: 3\nda";
+    std::string output;
+    for (char byte : input)
+        output += stream.append(std::string(1, byte));
+    CHECK(output == "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n: note\n\n");
+    CHECK(stream.lastId() == "2");
+    CHECK(stream.droppedEvents() == 1);
+    CHECK(stream.rest() == "id: 3\nda");
+    stream.restart();
+    CHECK(stream.append("id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+}
+
+TEST_CASE("failures in a row make an endpoint suspect, and good tries clear it")
+{
+    OutcomeTracker tracker;
+    tracker.onFailure(at(0));
+    tracker.onFailure(at(1));
+    CHECK_FALSE(tracker.isOnProbation());
+    tracker.onFailure(at(2));
+    CHECK(tracker.isSuspect(at(3)));
+    CHECK_FALSE(tracker.takeTry(at(100)));
+    CHECK(tracker.takeTry(at(600)));
+    CHECK_FALSE(tracker.takeTry(at(601)));
+    tracker.onSuccess(at(650));
+    tracker.onSuccess(at(700));
+    CHECK_FALSE(tracker.isOnProbation());
+}
+
+TEST_CASE("an endpoint that fails half of its requests becomes suspect though others succeed")
+{
+    OutcomeTracker tracker;
+    int untilSuspect = 0;
+    for (; untilSuspect < 100 && !tracker.isOnProbation(); ++untilSuspect) {
+        if (untilSuspect % 5 < 3)
+            tracker.onFailure(at(untilSuspect * 10));
+        else
+            tracker.onSuccess(at(untilSuspect * 10));
+    }
+    CHECK(untilSuspect <= 30);
+}
+
+TEST_CASE("suspects are passed over as long as another endpoint is there, and used when none is")
+{
+    UpstreamPointer bad = endpoint("bad", "z");
+    UpstreamPointer good = endpoint("good", "z");
+    bad->outcomes.onUnreachable(at(0));
+    AffinityChooser chooser;
+    for (int index = 0; index < 20; ++index)
+        CHECK(chooser.choose(query("z"), {bad, good}, at(10)) == good);
+    CHECK(chooser.choose(query("z"), {bad}, at(10)) == bad);
+    PlacementQuery probe = query("z");
+    probe.mayProbe = true;
+    CHECK(chooser.choose(probe, {bad, good}, at(600)) == bad);
+    CHECK(chooser.choose(probe, {bad, good}, at(601)) == good);
+}
+
+TEST_CASE("endpoints near by go first until they are full")
+{
+    UpstreamPointer near = endpoint("near", "z1");
+    UpstreamPointer far = endpoint("far", "z2");
+    AffinityChooser chooser;
+    CHECK(chooser.choose(query("z1"), {near, far}, at(0)) == near);
+    near->running = 8;
+    CHECK(chooser.choose(query("z1"), {near, far}, at(0)) == far);
+    CHECK(LeastLoadedChooser().choose(query("z1"), {near, far}, at(0)) == far);
+    CHECK(chooser.choose(query("z1"), {}, at(0)) == nullptr);
+}
+
+TEST_CASE("prompts that share a part go to one engine until it has much more to read than others")
+{
+    std::vector<UpstreamPointer> engines;
+    for (const char* id : {"a", "b", "c"})
+        engines.push_back(endpoint(id, "z", EngineRole::Prefill));
+    PlacementQuery shared = query("z");
+    shared.affinity = 77;
+    std::vector<PromptPart> parts{{70, 2500}, {77, 3800}, {1, 2900}};
+    std::set<UpstreamPointer> used;
+    for (int index = 0; index < 10; ++index)
+        used.insert(EngineChooser().choose(shared, parts, 9200, engines, at(0))->engine);
+    REQUIRE(used.size() == 1);
+    UpstreamPointer home = *used.begin();
+    CHECK(EngineChooser().choose(shared, parts, 9200, engines, at(0))->tokensToRead == 2900);
+    home->prompts.onSent(200000, at(0));
+    std::optional<EngineChoice> other = EngineChooser().choose(shared, parts, 9200, engines, at(0));
+    CHECK(other->engine != home);
+    CHECK(other->tokensToRead == 9200);
+}
+
+TEST_CASE("the estimate grows with what an engine has to read, and the speed is learnt")
+{
+    UpstreamPointer engine = endpoint("a", "z", EngineRole::Prefill);
+    std::vector<PromptPart> parts{{1, 3000}};
+    Millis idle = EngineChooser().choose(query("z"), parts, 3000, {engine}, at(0))->firstToken;
+    PromptTicket ticket = engine->prompts.onSent(100000, at(0));
+    Millis busy = EngineChooser().choose(query("z"), parts, 3000, {engine}, at(0))->firstToken;
+    CHECK(busy > idle + Millis(200));
+    double before = engine->prompts.tokensPerMilli();
+    engine->prompts.onRead(ticket, at(1000));
+    CHECK(engine->prompts.tokensPerMilli() < before);
+    CHECK(engine->prompts.pendingTokens() == 0);
+}
+
+TEST_CASE("what an engine keeps is forgotten beyond its capacity, the oldest first")
+{
+    PromptCacheModel cache;
+    cache.setCapacity(1000);
+    cache.onRead({{1, 400}, {2, 400}});
+    CHECK(cache.keptTokens({{1, 400}, {2, 400}, {3, 100}}) == 800);
+    cache.onRead({{3, 400}});
+    CHECK(cache.keptTokens({{1, 400}}) == 0);
+    CHECK(cache.keptTokens({{2, 400}}) == 400);
+}
+
+TEST_CASE("the log of failures is bounded in each second")
+{
+    RequestLog log;
+    int taken = 0;
+    for (int index = 0; index < 5000; ++index)
+        taken += log.takeFailure(at(0)) ? 1 : 0;
+    CHECK(taken == RequestLog::maxLinesPerSecond);
+    CHECK(log.takeFailure(at(1001)));
+}
+
+} // namespace
+} // namespace ragwortwinch
--- /dev/null
+++ b/testing/forward/fake_codec.h
@@ -0,0 +1,69 @@
+// A codec with short names of its own, for tests of the forwarding path.
+#pragma once
+
+#include "ragwortwinch/forward/request_codec.h"
+
+#include <cstdlib>
+#include <string>
+
+namespace ragwortwinch::testing {
+
+class FakeCodec final : public RequestCodec {
+public:
+    CallerRequest decodeRequest(const HttpFields& fields) const override
+    {
+        CallerRequest request;
+        request.id = text(fields, "Id");
+        request.key = text(fields, "Key");
+        request.lastEventId = text(fields, "Last-Event-Id");
+        std::string limit = text(fields, "Limit");
+        if (!limit.empty())
+            request.timeLimit = Millis(std::atoll(limit.c_str()));
+        request.promptTokens = std::atoll(text(fields, "Tokens").c_str());
+        return request;
+    }
+
+    void appendForwarded(
+        std::string& out, const HttpFields& caller, const ForwardedFields& own) const override
+    {
+        for (const HttpFields::value_type& field : caller) {
+            std::string name(field.name_string());
+            if (isConnectionField(name) || name == "Key" || name == "Limit" || name == "Last-Event-Id")
+                continue;
+            out += name + ": " + std::string(field.value()) + "\r\n";
+        }
+        out += "Endpoint: " + own.endpointId + "\r\nLimit: " + std::to_string(own.timeLeft.count()) + "\r\n";
+        if (!own.team.empty())
+            out += "Team: " + own.team + "\r\n";
+        if (own.isPrefill)
+            out += "Prefill: 1\r\n";
+        if (!own.cacheSource.empty())
+            out += "Cache: " + own.cacheSource + "\r\n";
+        if (!own.resumeAfter.empty())
+            out += "Last-Event-Id: " + own.resumeAfter + "\r\n";
+    }
+
+    EndpointReply decodeReply(const HttpFields& fields) const override
+    {
+        EndpointReply reply;
+        reply.requestId = text(fields, "Id");
+        reply.isNotExecuted = !text(fields, "Not-Run").empty();
+        return reply;
+    }
+
+    std::string decodePrefillHandle(std::string_view body) const override { return std::string(body); }
+    std::string freeHandleTarget(const std::string& handle) const override { return "/handle/" + handle; }
+    void appendOwnReply(std::string& out, const std::string& requestId) const override
+    {
+        out += "Id: " + requestId + "\r\n";
+    }
+
+private:
+    static std::string text(const HttpFields& fields, const char* name)
+    {
+        auto found = fields.find(name);
+        return found == fields.end() ? std::string() : std::string(found->value());
+    }
+};
+
+} // namespace ragwortwinch::testing
--- /dev/null
+++ b/testing/forward/fake_endpoint.h
@@ -0,0 +1,125 @@
+// An endpoint whose behaviour a test writes down: for each request a function of the socket.
+//
+//     FakeEndpoint endpoint([](RawSocket& socket, const std::string& request) { socket.send(...); });
+//     endpoint.requests();      // what it was sent
+#pragma once
+
+#include "testing/forward/raw_socket.h"
+
+#include <atomic>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace ragwortwinch::testing {
+
+class FakeEndpoint {
+public:
+    // Called with each request on the connection's own thread; returns false to end the connection.
+    using Behaviour = std::function<bool(RawSocket&, const std::string& request)>;
+
+    explicit FakeEndpoint(Behaviour behaviour)
+        : behaviour_(std::move(behaviour))
+        , listener_(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+        listen(listener_, 64);
+        socklen_t size = sizeof(address);
+        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+        port_ = ntohs(address.sin_port);
+        acceptor_ = std::thread([this] { accept(); });
+    }
+    ~FakeEndpoint()
+    {
+        isStopping_.store(true);
+        shutdown(listener_, SHUT_RDWR);
+        acceptor_.join();
+        ::close(listener_);
+        for (std::thread& thread : threads_)
+            thread.join();
+    }
+
+    std::uint16_t port() const { return port_; }
+    std::vector<std::string> requests() const
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return requests_;
+    }
+    int connections() const { return connections_.load(); }
+
+private:
+    void accept()
+    {
+        while (true) {
+            int descriptor = ::accept(listener_, nullptr, nullptr);
+            if (descriptor < 0)
+                return;
+            ++connections_;
+            threads_.emplace_back([this, descriptor] { serve(RawSocket(descriptor)); });
+        }
+    }
+
+    void serve(RawSocket socket)
+    {
+        while (!isStopping_.load()) {
+            std::string request = socket.readMessage(100);
+            if (request.empty()) {
+                bool hasClosed = false;
+                // Distinguishes a pause from the end of the connection.
+                pollfd ready{-1, 0, 0};
+                poll(&ready, 0, 0);
+                std::string rest = socket.readToEnd(hasClosed, 1);
+                if (hasClosed)
+                    return;
+                continue;
+            }
+            {
+                std::lock_guard<std::mutex> lock(mutex_);
+                requests_.push_back(request);
+            }
+            if (!behaviour_(socket, request))
+                return;
+        }
+    }
+
+    Behaviour behaviour_;
+    int listener_;
+    std::uint16_t port_ = 0;
+    std::atomic<bool> isStopping_{false};
+    std::atomic<int> connections_{0};
+    mutable std::mutex mutex_;
+    std::vector<std::string> requests_;
+    std::vector<std::thread> threads_;
+    std::thread acceptor_;
+};
+
+// Returns the value of a field in a message, or an empty text.
+inline std::string fieldOf(const std::string& message, const std::string& name)
+{
+    std::size_t start = message.find("\r\n" + name + ": ");
+    if (start == std::string::npos)
+        return {};
+    start += name.size() + 4;
+    return message.substr(start, message.find("\r\n", start) - start);
+}
+
+// An answer with a length that belongs to `request`.
+inline std::string answerTo(const std::string& request, const std::string& body, int status = 200)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " Answer\r\nId: " + fieldOf(request, "Id")
+        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+inline std::string chunkOf(const std::string& bytes)
+{
+    char size[20];
+    snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+    return size + bytes + "\r\n";
+}
+
+} // namespace ragwortwinch::testing
--- /dev/null
+++ b/testing/forward/forward_fixture.h
@@ -0,0 +1,119 @@
+// A forwarding server on a free port, in front of endpoints that a test brings.
+#pragma once
+
+#include "ragwortwinch/forward/forward_server.h"
+#include "testing/forward/fake_codec.h"
+#include "testing/forward/fake_endpoint.h"
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace ragwortwinch::testing {
+
+class ForwardFixture {
+public:
+    ForwardFixture()
+        : metrics_(registry_)
+        , traffic_(std::make_unique<std::shared_ptr<const TrafficTable>>())
+        , usage_(Millis(1000))
+    {
+        options_.availabilityZone = "z";
+        options_.region = "r";
+        options_.repeats = {0.2, Millis(10000), 100};
+        server_ = std::make_unique<ForwardServer>(codec_, clock_, options_, traffic_, usage_,
+            [this] { return clock_.unixMillis(); }, std::make_unique<AffinityChooser>(), metrics_);
+        handleErrors(
+            [&]() -> Result<int> {
+                BOOST_LEAF_ASSIGN(port_, server_->listen({"127.0.0.1", 0}));
+                return 0;
+            },
+            [](const Error&) { return 1; });
+        thread_ = std::thread([this] { server_->run(); });
+    }
+    ~ForwardFixture()
+    {
+        server_->stop();
+        thread_.join();
+    }
+
+    // Three routes: /safe/, /once/ and /events/, all for the team with the key "key"; /open/ for everybody.
+    static TrafficConfig sampleConfig()
+    {
+        TrafficConfig config;
+        config.version = 1;
+        auto add = [&](const std::string& name, RouteKind kind) {
+            TrafficRoute route;
+            route.name = name;
+            route.host = "api";
+            route.pathPrefix = "/" + name + "/";
+            route.kind = kind;
+            route.timeout = Millis(2000);
+            route.targetLatency = Millis(200);
+            route.targetGap = Millis(100);
+            route.maxEndpoints = 2;
+            route.services = {{"desk", 1}};
+            config.routes.push_back(route);
+            return &config.routes.back();
+        };
+        add("safe", RouteKind::Idempotent);
+        add("once", RouteKind::NonIdempotent);
+        add("events", RouteKind::Stream)->isResumable = true;
+        add("single", RouteKind::Stream);
+        add("open", RouteKind::Idempotent)->isOpen = true;
+        config.teams = {{"riders", {"key"}, std::nullopt}};
+        config.limits.maxHeaderBytes = 4096;
+        config.limits.maxBodyBytes = 10000;
+        config.limits.headerTimeout = Millis(400);
+        return config;
+    }
+
+    void setConfig(TrafficConfig config)
+    {
+        std::shared_ptr<const TrafficTable> table = std::make_shared<TrafficTable>(std::move(config));
+        traffic_.replace(std::make_unique<std::shared_ptr<const TrafficTable>>(std::move(table)));
+    }
+
+    void setEndpoints(const std::vector<const FakeEndpoint*>& endpoints)
+    {
+        std::vector<EndpointRecord> records;
+        for (const FakeEndpoint* endpoint : endpoints) {
+            EndpointRecord record;
+            record.id = "e" + std::to_string(records.size());
+            record.incarnation = 1;
+            record.service = "desk";
+            record.address = {"127.0.0.1", endpoint->port()};
+            record.availabilityZone = "z";
+            record.slots = 8;
+            records.push_back(record);
+        }
+        server_->setEndpoints(records, {{"z", "r"}});
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+
+    RawSocket connect() const { return RawSocket::connectTo(port_); }
+    ForwardServer& server() { return *server_; }
+    UsageCounter& usage() { return usage_; }
+
+    static std::string request(const std::string& path, const std::string& id, const std::string& body = "",
+        const std::string& extra = "")
+    {
+        return "POST " + path + " HTTP/1.1\r\nHost: api\r\nId: " + id + "\r\nKey: key\r\n" + extra
+            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+private:
+    FakeCodec codec_;
+    SystemClock clock_;
+    ForwardOptions options_;
+    prometheus::Registry registry_;
+    ForwardMetrics metrics_;
+    TrafficSnapshot traffic_;
+    UsageCounter usage_;
+    std::unique_ptr<ForwardServer> server_;
+    std::uint16_t port_ = 0;
+    std::thread thread_;
+};
+
+} // namespace ragwortwinch::testing
--- /dev/null
+++ b/testing/forward/raw_socket.h
@@ -0,0 +1,125 @@
+// A blocking TCP socket with bounds on its waits, for tests that care about single bytes.
+#pragma once
+
+#include <arpa/inet.h>
+#include <chrono>
+#include <cstdint>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace ragwortwinch::testing {
+
+class RawSocket {
+public:
+    explicit RawSocket(int descriptor = -1)
+        : descriptor_(descriptor)
+    {
+    }
+    RawSocket(RawSocket&& other) noexcept
+        : descriptor_(std::exchange(other.descriptor_, -1))
+        , received_(std::move(other.received_))
+    {
+    }
+    RawSocket& operator=(RawSocket&& other) noexcept
+    {
+        close();
+        descriptor_ = std::exchange(other.descriptor_, -1);
+        received_ = std::move(other.received_);
+        return *this;
+    }
+    ~RawSocket() { close(); }
+
+    static RawSocket connectTo(std::uint16_t port)
+    {
+        RawSocket raw(::socket(AF_INET, SOCK_STREAM, 0));
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (connect(raw.descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+            raw.close();
+        return raw;
+    }
+
+    bool isOpen() const { return descriptor_ >= 0; }
+    void send(const std::string& bytes) { ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
+    void close()
+    {
+        if (descriptor_ >= 0)
+            ::close(descriptor_);
+        descriptor_ = -1;
+    }
+    void reset()
+    {
+        linger abort{1, 0};
+        setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+        close();
+    }
+
+    // Waits until `text` has arrived; returns everything up to and including it, or what there is at the end.
+    std::string readUntil(const std::string& text, int millis = 3000)
+    {
+        std::chrono::steady_clock::time_point end
+            = std::chrono::steady_clock::now() + std::chrono::milliseconds(millis);
+        while (true) {
+            std::size_t found = received_.find(text);
+            if (found != std::string::npos) {
+                std::string result = received_.substr(0, found + text.size());
+                received_.erase(0, found + text.size());
+                return result;
+            }
+            if (!readMore(end))
+                return std::exchange(received_, {});
+        }
+    }
+
+    // Reads until the other end closes; sets whether it did within the time.
+    std::string readToEnd(bool& hasClosed, int millis = 3000)
+    {
+        std::chrono::steady_clock::time_point end
+            = std::chrono::steady_clock::now() + std::chrono::milliseconds(millis);
+        while (readMore(end)) { }
+        hasClosed = std::chrono::steady_clock::now() < end;
+        return std::exchange(received_, {});
+    }
+
+    // Reads one request or answer with its body, by Content-Length only.
+    std::string readMessage(int millis = 3000)
+    {
+        std::string head = readUntil("\r\n\r\n", millis);
+        std::size_t field = head.find("Content-Length: ");
+        std::size_t length
+            = field == std::string::npos ? 0 : static_cast<std::size_t>(std::stoul(head.substr(field + 16)));
+        std::chrono::steady_clock::time_point end
+            = std::chrono::steady_clock::now() + std::chrono::milliseconds(millis);
+        while (received_.size() < length && readMore(end)) { }
+        std::string message = head + received_.substr(0, length);
+        received_.erase(0, std::min(length, received_.size()));
+        return message;
+    }
+
+private:
+    bool readMore(std::chrono::steady_clock::time_point end)
+    {
+        auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+            end - std::chrono::steady_clock::now());
+        pollfd ready{descriptor_, POLLIN, 0};
+        if (left.count() <= 0 || poll(&ready, 1, static_cast<int>(left.count())) <= 0)
+            return false;
+        char buffer[16384];
+        ssize_t size = recv(descriptor_, buffer, sizeof(buffer), 0);
+        if (size <= 0)
+            return false;
+        received_.append(buffer, static_cast<std::size_t>(size));
+        return true;
+    }
+
+    int descriptor_;
+    std::string received_;
+};
+
+} // namespace ragwortwinch::testing
