Order cheap engines, balance their roles, and answer late rather than never

Change: a planner of counts (reclaimable engines, few regular ones) and of roles (half of a zone makes tokens), both under the duty's authority; prompts that can't be on time are read behind those that can; decoders read only as overflow; hand-overs stay in their zone; long answers spread from half occupancy.

--- /dev/null
+++ b/ragwortwinch/fleet/planner_test.cc
@@ -0,0 +1,132 @@
+#include "ragwortwinch/fleet/count_planner.h"
+#include "ragwortwinch/fleet/role_planner.h"
+
+#include <doctest/doctest.h>
+
+namespace ragwortwinch {
+namespace {
+
+Instant at(int millis)
+{
+    return Instant(Millis(500000 + millis));
+}
+
+EndpointRecord engine(const std::string& id, const std::string& zone, EngineRole role, bool isReclaimable = false)
+{
+    EndpointRecord record;
+    record.id = id;
+    record.service = "model";
+    record.availabilityZone = zone;
+    record.role = role;
+    record.isReclaimable = isReclaimable;
+    return record;
+}
+
+std::vector<ServiceRule> modelService(double spotPrice)
+{
+    ServiceRule service;
+    service.name = "model";
+    service.scaling = ScalingRule{1, 6, Millis(4000), spotPrice, {}};
+    return {service};
+}
+
+std::vector<EndpointRecord> threeRegular()
+{
+    return {engine("a", "z", EngineRole::Decode), engine("b", "z", EngineRole::Decode),
+        engine("c", "z", EngineRole::Prefill)};
+}
+
+TEST_CASE("cheap endpoints are ordered first, and regular ones given back when they serve")
+{
+    CountPlanner planner;
+    std::vector<EndpointRecord> records = threeRegular();
+    std::vector<CountOrder> orders = planner.tick(at(0), modelService(0.15), records);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].isReclaimable);
+    // Both kinds together stay within the maximum.
+    CHECK(orders[0].count == 3);
+    CHECK(planner.tick(at(10), modelService(0.15), records).empty());
+    planner.onResult(at(20), orders[0], SendOutcome::Applied);
+    for (const char* id : {"d", "e", "f"})
+        records.push_back(engine(id, "z", EngineRole::Prefill, true));
+    orders = planner.tick(at(5000), modelService(0.15), records);
+    REQUIRE(orders.size() == 1);
+    CHECK_FALSE(orders[0].isReclaimable);
+    CHECK(orders[0].count == 1);
+    planner.onResult(at(5010), orders[0], SendOutcome::Applied);
+    records.erase(records.begin(), records.begin() + 2);
+    orders = planner.tick(at(12000), modelService(0.15), records);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].count == 5);
+}
+
+TEST_CASE("endpoints that are hardly cheaper are not ordered")
+{
+    CountPlanner planner;
+    CHECK(planner.tick(at(0), modelService(0.9), threeRegular()).empty());
+    CHECK(planner.tick(at(0), modelService(0), threeRegular()).empty());
+}
+
+TEST_CASE("a refused order is tried again after a pause, and regular endpoints stay meanwhile")
+{
+    CountPlanner planner;
+    std::vector<CountOrder> orders = planner.tick(at(0), modelService(0.15), threeRegular());
+    planner.onResult(at(10), orders[0], SendOutcome::Refused);
+    CHECK(planner.tick(at(1000), modelService(0.15), threeRegular()).empty());
+    orders = planner.tick(at(2100), modelService(0.15), threeRegular());
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].isReclaimable);
+}
+
+TEST_CASE("in each zone a third of the engines makes tokens, those that can't be reclaimed first")
+{
+    RolePlanner planner;
+    std::vector<EndpointRecord> records{engine("a", "z", EngineRole::Prefill),
+        engine("b", "z", EngineRole::Decode, true), engine("c", "z", EngineRole::Decode, true)};
+    std::vector<RoleOrder> orders = planner.tick(at(0), records);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].engine.id == "a");
+    CHECK(orders[0].role == EngineRole::Decode);
+    // Half of the engines are not away at once.
+    CHECK(planner.tick(at(1000), records).empty());
+    planner.onResult(at(1000), orders[0], SendOutcome::Applied);
+    records[0].role = EngineRole::Decode;
+    orders = planner.tick(at(6000), records);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].role == EngineRole::Prefill);
+}
+
+TEST_CASE("several engines that are not needed for tokens change together")
+{
+    RolePlanner planner;
+    std::vector<EndpointRecord> records{engine("a", "z", EngineRole::Decode)};
+    for (const char* id : {"b", "c", "d", "e", "f"})
+        records.push_back(engine(id, "z", EngineRole::Decode, true));
+    std::vector<RoleOrder> orders = planner.tick(at(0), records);
+    CHECK(orders.size() == 3);
+    for (const RoleOrder& order : orders)
+        CHECK(order.role == EngineRole::Prefill);
+}
+
+TEST_CASE("a zone never loses its last engine that makes tokens")
+{
+    RolePlanner planner;
+    std::vector<EndpointRecord> records{engine("a", "z", EngineRole::Prefill), engine("b", "z", EngineRole::Decode, true)};
+    std::vector<RoleOrder> orders = planner.tick(at(0), records);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].engine.id == "a");
+    CHECK(planner.tick(at(0), {engine("only", "y", EngineRole::Decode, true)}).empty());
+}
+
+TEST_CASE("an engine whose order had no answer is left alone until a late order can't come any more")
+{
+    RolePlanner planner;
+    std::vector<EndpointRecord> records{engine("a", "z", EngineRole::Prefill)};
+    std::vector<RoleOrder> orders = planner.tick(at(0), records);
+    planner.onResult(at(500), orders[0], SendOutcome::Unknown);
+    CHECK(planner.tick(at(13000), records).empty());
+    CHECK(planner.tick(at(13600), records).size() == 1);
+}
+
+} // namespace
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/fleet/role_planner.cc
@@ -0,0 +1,81 @@
+#include "ragwortwinch/fleet/role_planner.h"
+
+#include "ragwortwinch/base/log_event.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace ragwortwinch {
+
+std::vector<RoleOrder> RolePlanner::tick(Instant now, const std::vector<EndpointRecord>& records)
+{
+    std::erase_if(
+        pausedUntil_, [now](const std::pair<const std::pair<std::string, std::int64_t>, Instant>& entry) {
+            return now >= entry.second;
+        });
+    std::map<std::pair<std::string, std::string>, std::vector<EndpointRecord>> zones;
+    for (const EndpointRecord& record : records) {
+        if (record.role != EngineRole::None && !record.isDraining)
+            zones[{record.service, record.availabilityZone}].push_back(record);
+    }
+    std::vector<RoleOrder> orders;
+    for (auto& [zone, engines] : zones)
+        planZone(now, std::move(engines), orders);
+    return orders;
+}
+
+void RolePlanner::planZone(Instant now, std::vector<EndpointRecord> engines, std::vector<RoleOrder>& orders)
+{
+    std::size_t decoders = (engines.size() + enginesPerDecoder - 1) / enginesPerDecoder;
+    // Those that stay first, and among them those that make tokens already.
+    std::sort(engines.begin(), engines.end(), [](const EndpointRecord& left, const EndpointRecord& right) {
+        auto rank = [](const EndpointRecord& engine) {
+            return std::make_tuple(engine.isReclaimable, engine.role != EngineRole::Decode, engine.id);
+        };
+        return rank(left) < rank(right);
+    });
+    std::size_t decodersNow = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(),
+        [](const EndpointRecord& engine) { return engine.role == EngineRole::Decode; }));
+    // Engines that are away or may soon be count for neither role.
+    std::size_t changing = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(),
+        [&](const EndpointRecord& engine) { return isPaused(now, engine); }));
+    decodersNow -= std::min(decodersNow, static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(),
+        [&](const EndpointRecord& engine) {
+            return engine.role == EngineRole::Decode && isPaused(now, engine);
+        })));
+    for (std::size_t index = 0; index < engines.size(); ++index) {
+        EngineRole wanted = index < decoders ? EngineRole::Decode : EngineRole::Prefill;
+        const EndpointRecord& engine = engines[index];
+        if (engine.role == wanted || isPaused(now, engine))
+            continue;
+        // An engine that makes tokens goes only when enough others are there, and half of a zone at most is
+        // away at once.
+        bool isNeeded = wanted == EngineRole::Prefill && decodersNow <= decoders;
+        bool areTooManyAway = changing > 0 && (changing + 1) * 2 > engines.size();
+        if (isNeeded || areTooManyAway)
+            continue;
+        decodersNow -= wanted == EngineRole::Prefill ? 1 : 0;
+        ++changing;
+        pausedUntil_[{engine.id, engine.incarnation}] = now + changePause;
+        orders.push_back({engine, wanted});
+    }
+}
+
+bool RolePlanner::isPaused(Instant now, const EndpointRecord& engine) const
+{
+    auto found = pausedUntil_.find({engine.id, engine.incarnation});
+    return found != pausedUntil_.end() && now < found->second;
+}
+
+void RolePlanner::onResult(Instant now, const RoleOrder& order, SendOutcome outcome)
+{
+    LogEvent("fleet.role_ordered")
+        .with("endpoint", order.engine.id)
+        .with("zone", order.engine.availabilityZone)
+        .with("role", engineRoleNames.name(order.role))
+        .with("outcome", sendOutcomeNames.name(outcome));
+    if (outcome == SendOutcome::Unknown)
+        pausedUntil_[{order.engine.id, order.engine.incarnation}] = now + unknownPause;
+}
+
+} // namespace ragwortwinch
--- a/ragwortwinch/forward/endpoint_chooser.cc
+++ b/ragwortwinch/forward/endpoint_chooser.cc
@@ -12,8 +12,6 @@
 // An endpoint with affinity is left once its load is over the mean of its group by this part and constant.
 constexpr double loadFactor = 1.5;
 constexpr double loadConstant = 3;
-// The load, as a part of its slots, from which a nearer group of endpoints is left for a farther one.
-constexpr double spillOccupancy = 0.8;
 
 double occupancy(const UpstreamEndpoint& endpoint)
 {
@@ -116,7 +114,7 @@
     for (Distance distance : {Distance::SameZone, Distance::SameRegion, Distance::OtherRegion}) {
         std::vector<UpstreamPointer> group;
         for (const UpstreamPointer& endpoint : usable) {
-            if (distanceOf(query, *endpoint) == distance && occupancy(*endpoint) < spillOccupancy)
+            if (distanceOf(query, *endpoint) == distance && occupancy(*endpoint) < query.spillOccupancy)
                 group.push_back(endpoint);
         }
         if (!group.empty())
--- a/ragwortwinch/forward/endpoint_chooser.h
+++ b/ragwortwinch/forward/endpoint_chooser.h
@@ -16,6 +16,13 @@
 
 namespace ragwortwinch {
 
+// Short requests leave an endpoint near by only when it is nearly full.
+inline constexpr double defaultSpillOccupancy = 0.8;
+// Long answers hold their slots for seconds, so they spread early and leave slots for short ones.
+inline constexpr double longAnswerSpillOccupancy = 0.5;
+// Memory that moves to another zone takes longer than waiting for a slot in this one.
+inline constexpr double neverSpill = 1e9;
+
 struct PlacementQuery {
     // Of the VM that asks.
     std::string availabilityZone;
@@ -26,6 +33,8 @@
     std::uint64_t spread = 0;
     // Endpoints that this request has been sent to.
     std::vector<const UpstreamEndpoint*> excluded;
+    // The part of its slots from which a nearer endpoint is left for a farther one.
+    double spillOccupancy = defaultSpillOccupancy;
     // Whether the request may be spent on a suspect endpoint, to see whether it has recovered.
     bool mayProbe = false;
 };
--- a/ragwortwinch/forward/endpoint_directory.h
+++ b/ragwortwinch/forward/endpoint_directory.h
@@ -20,7 +20,7 @@
 struct EndpointWork {
     std::int64_t running = 0;
     // Prompt tokens that it has yet to read.
-    std::int64_t promptTokens = 0;
+    LaneTokens promptTokens;
 };
 
 class EndpointDirectory {
--- a/ragwortwinch/forward/engine_chooser.cc
+++ b/ragwortwinch/forward/engine_chooser.cc
@@ -40,8 +40,7 @@
     return 0;
 }
 
-std::optional<EngineChoice> EngineChooser::choose(const PlacementQuery& query,
-    const std::vector<PromptPart>& parts, std::int64_t promptTokens,
+std::optional<EngineChoice> EngineChooser::choose(const PlacementQuery& query, const PromptQuery& prompt,
     const std::vector<UpstreamPointer>& engines, Instant now) const
 {
     UpstreamPointer dueTry;
@@ -49,17 +48,36 @@
     if (dueTry)
         usable = {dueTry};
     const UpstreamEndpoint* home = query.affinity ? homeEngine(query.affinity, usable) : nullptr;
+    std::vector<UpstreamPointer> readers;
+    for (const UpstreamPointer& engine : usable) {
+        if (engine->record.role == EngineRole::Prefill)
+            readers.push_back(engine);
+    }
+    std::optional<EngineChoice> choice = best(query, prompt, readers, PromptLane::OnTime, home);
+    if (choice && choice->firstToken <= prompt.onTimeLimit)
+        return choice;
+    choice = best(query, prompt, usable, PromptLane::OnTime, home);
+    if (choice && choice->firstToken <= prompt.onTimeLimit)
+        return choice;
+    choice = best(query, prompt, readers.empty() ? usable : readers, PromptLane::Late, home);
+    if (choice && choice->firstToken <= prompt.lateLimit)
+        return choice;
+    return std::nullopt;
+}
+
+std::optional<EngineChoice> EngineChooser::best(const PlacementQuery& query, const PromptQuery& prompt,
+    const std::vector<UpstreamPointer>& engines, PromptLane lane, const UpstreamEndpoint* home) const
+{
     std::int64_t sharedTokens = 0;
-    for (std::size_t index = 0; index + 1 < parts.size(); ++index)
-        sharedTokens += parts[index].tokens;
+    for (std::size_t index = 0; index + 1 < prompt.parts.size(); ++index)
+        sharedTokens += prompt.parts[index].tokens;
     std::optional<EngineChoice> best;
     double bestScore = 0;
-    for (const UpstreamPointer& engine : usable) {
-        std::int64_t kept = engine.get() == home ? sharedTokens : engine->cache.keptTokens(parts);
-        std::int64_t toRead = std::max<std::int64_t>(0, promptTokens - kept);
-        bool isPrefill = engine->record.role == EngineRole::Prefill;
-        double speedPart = isPrefill ? 1 : decodeReadSpeed;
-        double wait = engine->prompts.waitMillis() / speedPart;
+    for (const UpstreamPointer& engine : engines) {
+        std::int64_t kept = engine.get() == home ? sharedTokens : engine->cache.keptTokens(prompt.parts);
+        std::int64_t toRead = std::max<std::int64_t>(0, prompt.promptTokens - kept);
+        double speedPart = engine->record.role == EngineRole::Prefill ? 1 : decodeReadSpeed;
+        double wait = engine->prompts.waitMillis(lane) / speedPart;
         double read = static_cast<double>(toRead) / (engine->prompts.tokensPerMilli() * speedPart);
         double way = roundTripMillis(distanceOf(query, *engine));
         double score = wait + read * readWeight + way * wayWeight;
@@ -67,7 +85,7 @@
             continue;
         bestScore = score;
         double total = wait + read + way + handOverMillis;
-        best = EngineChoice{engine, toRead, Millis(static_cast<std::int64_t>(total))};
+        best = EngineChoice{engine, toRead, lane, Millis(static_cast<std::int64_t>(total))};
     }
     return best;
 }
--- a/ragwortwinch/forward/engine_chooser.h
+++ b/ragwortwinch/forward/engine_chooser.h
@@ -1,11 +1,13 @@
 // Chooses the engine that reads a long prompt, and says how long the first token will take. A pure decision.
 //
-//     EngineChooser chooser;
-//     std::optional<EngineChoice> choice = chooser.choose(query, engines, now);
-//     if (!choice || choice->firstToken > timeLeft) refuse();
+//     PromptQuery prompt{parts, promptTokens, onTimeLimit, lateLimit};
+//     std::optional<EngineChoice> choice = EngineChooser().choose(query, prompt, engines, now);
+//     if (!choice) refuse();
 //
 // It answers the load of prompts that share long parts, in swings beyond what the engines can read: reading a
-// part again costs engine time that others need, so it counts more than the way to an engine that has it.
+// part again costs engine time that others need, so it counts more than the way to an engine that has it. What
+// can't be on time is read behind what can, as long as it can be answered at all. Engines for decode read
+// prompts only when those for prefill can't in time, since every piece that they read delays their tokens.
 #pragma once
 
 #include "ragwortwinch/base/time.h"
@@ -19,10 +21,20 @@
 
 namespace ragwortwinch {
 
+struct PromptQuery {
+    const std::vector<PromptPart>& parts;
+    std::int64_t promptTokens = 0;
+    // The first token is on time within this.
+    Millis onTimeLimit{0};
+    // The first token is of use within this.
+    Millis lateLimit{0};
+};
+
 struct EngineChoice {
     UpstreamPointer engine;
     // Tokens that it will have to read.
     std::int64_t tokensToRead = 0;
+    PromptLane lane = PromptLane::OnTime;
     // From now to the first token, as estimated.
     Millis firstToken{0};
 };
@@ -38,8 +50,13 @@
     // Handing the memory over and making the first token.
     static constexpr double handOverMillis = 12;
 
-    std::optional<EngineChoice> choose(const PlacementQuery& query, const std::vector<PromptPart>& parts,
-        std::int64_t promptTokens, const std::vector<UpstreamPointer>& engines, Instant now) const;
+    // Returns nothing when no engine can make the first token within the late limit.
+    std::optional<EngineChoice> choose(const PlacementQuery& query, const PromptQuery& prompt,
+        const std::vector<UpstreamPointer>& engines, Instant now) const;
+
+private:
+    std::optional<EngineChoice> best(const PlacementQuery& query, const PromptQuery& prompt,
+        const std::vector<UpstreamPointer>& engines, PromptLane lane, const UpstreamEndpoint* home) const;
 };
 
 // A round trip to an endpoint at a distance, in milliseconds.
--- a/ragwortwinch/forward/engine_load.cc
+++ b/ragwortwinch/forward/engine_load.cc
@@ -15,17 +15,18 @@
 
 } // namespace
 
-PromptTicket EngineLoad::onSent(std::int64_t tokens, Instant now)
+PromptTicket EngineLoad::onSent(std::int64_t tokens, PromptLane lane, Instant now)
 {
-    own_ += tokens;
-    return {tokens, pendingTokens(), now};
+    own_.of(lane) += tokens;
+    return {lane, tokens, pendingTokens(lane), now};
 }
 
 void EngineLoad::onRead(const PromptTicket& ticket, Instant now)
 {
-    own_ -= ticket.tokens;
+    own_.of(ticket.lane) -= ticket.tokens;
     double millis = static_cast<double>((now - ticket.sentAt).count());
-    if (ticket.ahead < leastAhead || millis < 1)
+    // What overtakes a late prompt isn't known.
+    if (ticket.lane == PromptLane::Late || ticket.ahead < leastAhead || millis < 1)
         return;
     double sample = std::clamp(static_cast<double>(ticket.ahead) / millis, slowest, fastest);
     speed_ += (sample - speed_) * sampleWeight;
@@ -33,7 +34,7 @@
 
 void EngineLoad::onDropped(const PromptTicket& ticket)
 {
-    own_ -= ticket.tokens;
+    own_.of(ticket.lane) -= ticket.tokens;
 }
 
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -20,6 +20,8 @@
 constexpr int statusTimeout = 504;
 // Priorities that engines know.
 constexpr int leastUrgent = 9;
+// What will be late goes behind all that can be on time.
+constexpr int latePriority = 5;
 // An answer that is held as a whole may have this many bytes.
 constexpr std::size_t maxWholeAnswer = 16 * 1024 * 1024;
 
@@ -83,9 +85,15 @@
         reject(statusBadRequest, ErrorKind::BadRequest, "the request has no id; send one with each try");
         return false;
     }
+    deadline_ = startedAt_ + std::min(request_->caller.timeLimit.value_or(route_->timeout), route_->timeout);
+    bool mayOutliveUs = context_.drain && startedAt_ >= context_.drain->takeUntil
+        && deadline_ >= context_.drain->end;
+    if (mayOutliveUs) {
+        refuse(ErrorKind::Draining, "this VM is stopping; the request was not run, use another VM");
+        return false;
+    }
     chooseService();
     context_.budgetOf(service_).onRequest(startedAt_);
-    deadline_ = startedAt_ + std::min(request_->caller.timeLimit.value_or(route_->timeout), route_->timeout);
     return true;
 }
 
@@ -175,13 +183,21 @@
 
 void Exchange::placePrompt()
 {
-    std::optional<EngineChoice> choice = EngineChooser().choose(makeQuery(), request_->caller.promptParts,
-        request_->caller.promptTokens, context_.endpoints.ofService(service_), context_.clock.now());
     Millis elapsed = context_.clock.now() - startedAt_;
-    if (!choice || choice->firstToken + elapsed > std::min(route_->targetLatency, timeLeft() + elapsed)) {
+    PromptQuery prompt{request_->caller.promptParts, request_->caller.promptTokens,
+        std::min(route_->targetLatency - elapsed, timeLeft()),
+        Millis(static_cast<std::int64_t>(
+            static_cast<double>(timeLeft().count()) * context_.options.lateTimePart))};
+    std::optional<EngineChoice> choice = EngineChooser().choose(
+        makeQuery(), prompt, context_.endpoints.ofService(service_), context_.clock.now());
+    if (!choice) {
         refuse(ErrorKind::NoCapacity, "the engines can't read the prompt in time; it was not run");
         return;
     }
+    lane_ = choice->lane;
+    estimate_ = choice->firstToken;
+    tokensToRead_ = choice->tokensToRead;
+    promptEngine_ = choice->engine->record.id;
     if (choice->engine->record.role == EngineRole::Prefill)
         startPrefill(*choice);
     else
@@ -191,7 +207,7 @@
 void Exchange::sendPrompt(const EngineChoice& choice)
 {
     ticketEngine_ = choice.engine;
-    ticket_ = choice.engine->prompts.onSent(choice.tokensToRead, context_.clock.now());
+    ticket_ = choice.engine->prompts.onSent(choice.tokensToRead, choice.lane, context_.clock.now());
     choice.engine->cache.onRead(request_->caller.promptParts);
     send(choice.engine);
 }
@@ -200,7 +216,7 @@
 {
     hasPrefilled_ = true;
     ticketEngine_ = choice.engine;
-    ticket_ = choice.engine->prompts.onSent(choice.tokensToRead, context_.clock.now());
+    ticket_ = choice.engine->prompts.onSent(choice.tokensToRead, choice.lane, context_.clock.now());
     choice.engine->cache.onRead(request_->caller.promptParts);
     ForwardedFields own = ownFields(choice.engine);
     own.isPrefill = true;
@@ -232,6 +248,7 @@
         return;
     Instant now = context_.clock.now();
     closeTicket(!result.handle.empty());
+    prefillTime_ = now - startedAt_;
     context_.metrics.onAttemptEnd(service_, result.end);
     if (!result.handle.empty()) {
         result.endpoint->outcomes.onSuccess(now);
@@ -270,7 +287,9 @@
         query.availabilityZone = cacheHolder_->record.availabilityZone;
         query.region = cacheHolder_->region;
         query.affinity = 0;
-    }
+        query.spillOccupancy = neverSpill;
+    } else if (route_->kind == RouteKind::Stream)
+        query.spillOccupancy = longAnswerSpillOccupancy;
     UpstreamPointer endpoint = context_.chooser.choose(
         query, context_.endpoints.runners(service_), context_.clock.now());
     if (endpoint) {
@@ -303,6 +322,8 @@
         own.team = team_->name;
     if (endpoint->record.role != EngineRole::None) {
         int priority = team_ && team_->priority ? *team_->priority : route_->priority;
+        if (lane_ == PromptLane::Late)
+            priority += latePriority;
         own.priority = std::clamp(priority, 0, leastUrgent);
     }
     return own;
@@ -406,7 +427,8 @@
         return;
     }
     isStreamStarted_ = true;
-    context_.metrics.onFirstByte(route_->name, context_.clock.now() - startedAt_);
+    firstEventTime_ = context_.clock.now() - startedAt_;
+    context_.metrics.onFirstByte(route_->name, firstEventTime_);
     sink_->beginStream(replyHead_, std::move(events), std::move(onWritten));
 }
 
@@ -627,6 +649,12 @@
         .with("last_attempt", sends_ ? attemptEndNames.name(lastEnd_) : "none")
         .with("sends", sends_)
         .with("prefilled", hasPrefilled_)
+        .with("prompt_engine", promptEngine_)
+        .with("to_read", tokensToRead_)
+        .with("late_lane", lane_ == PromptLane::Late)
+        .with("estimate_ms", estimate_.count())
+        .with("prefill_ms", prefillTime_.count())
+        .with("first_ms", firstEventTime_.count())
         .with("events", events_.eventCount())
         .with("limit_ms", (deadline_ - startedAt_).count())
         .with("ms", duration.count());
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -108,6 +108,13 @@
     bool mayHaveRun_ = false;
     bool isUsageCounted_ = false;
     bool hasPrefilled_ = false;
+    PromptLane lane_ = PromptLane::OnTime;
+    // Of the chosen engine, for the log.
+    Millis estimate_{0};
+    std::string promptEngine_;
+    std::int64_t tokensToRead_ = 0;
+    Millis prefillTime_{0};
+    Millis firstEventTime_{0};
     // The prompt that an engine is reading, and the engine.
     std::optional<PromptTicket> ticket_;
     UpstreamPointer ticketEngine_;
--- a/ragwortwinch/forward/forward_context.h
+++ b/ragwortwinch/forward/forward_context.h
@@ -16,10 +16,16 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace ragwortwinch {
 
+struct DrainTimes {
+    Instant takeUntil;
+    Instant end;
+};
+
 using TrafficSnapshot = Snapshot<std::shared_ptr<const TrafficTable>>;
 
 struct ForwardContext {
@@ -39,6 +45,8 @@
     // Of each service.
     std::map<std::string, RepeatBudget> budgets{};
     std::uint64_t requestNumber = 0;
+    // While this VM stops: until when it takes any request, and when it ends.
+    std::optional<DrainTimes> drain{};
 
     RepeatBudget& budgetOf(const std::string& service)
     {
--- a/ragwortwinch/forward/forward_options.h
+++ b/ragwortwinch/forward/forward_options.h
@@ -26,6 +26,9 @@
     std::int64_t minPrefillTokens = 1000;
     // A shared part of at least this many tokens makes a request return to the engine that has read it.
     std::int64_t minAffinityTokens = 400;
+    // A prompt that can't be on time is still read if its first token is expected within this part of the
+    // caller's time; the rest covers the error of the estimate and the answer.
+    double lateTimePart = 0.6;
     // How often a request may be sent in all, counting those that were not run.
     int maxSends = 3;
     // When a caller that was refused for want of room may come back.
@@ -34,6 +37,8 @@
     double maxIdlePartOnce = 0.3;
     // Bodies and answers held in memory at once.
     std::size_t maxHeldBytes = 64 * 1024 * 1024;
+    // While this VM stops: how long requests are still taken that surely end before the stop.
+    Millis drainGrace{2500};
     // Connections of callers.
     std::size_t maxSessions = 2400;
 };
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -152,9 +152,12 @@
     boost::asio::post(io_, [this, work = std::move(work)] { endpoints_.setWorkElsewhere(work); });
 }
 
-void ForwardServer::beginDrain()
+void ForwardServer::beginDrain(Instant end)
 {
     isDraining_.store(true);
+    boost::asio::post(io_, [this, end] {
+        context_.drain = DrainTimes{context_.clock.now() + options_.drainGrace, end};
+    });
 }
 
 void ForwardServer::closeIdleSessions()
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -44,8 +44,9 @@
     void setWorkElsewhere(std::map<std::string, EndpointWork> work);
     // The work of this VM at each endpoint, by id; a fraction of a second old.
     std::map<std::string, EndpointWork> work() const;
-    // From now on each answer closes its connection.
-    void beginDrain();
+    // From now on each answer closes its connection. Requests that may last until `end` are refused after a
+    // while.
+    void beginDrain(Instant end);
     // Closes connections without a request, and answers new requests with "not run".
     void closeIdleSessions();
     std::size_t sessionsWithRequests() const { return busySessions_.load(); }
--- a/ragwortwinch/membership/peer_digest.h
+++ b/ragwortwinch/membership/peer_digest.h
@@ -15,8 +15,9 @@
     std::string endpoint;
     std::int64_t running = 0;
     std::int64_t pieces = 0;
-    // Prompt tokens that the endpoint has yet to read for it.
+    // Prompt tokens that the endpoint has yet to read for it: of prompts that can be on time, and of late ones.
     std::int64_t promptTokens = 0;
+    std::int64_t latePromptTokens = 0;
 };
 
 struct PeerDigest {
--- a/ragwortwinch/membership/peer_message.cc
+++ b/ragwortwinch/membership/peer_message.cc
@@ -115,6 +115,7 @@
         entry.running = share.takeInteger();
         entry.pieces = share.takeInteger();
         entry.promptTokens = share.takeInteger();
+        entry.latePromptTokens = share.takeInteger();
         digest.shares.push_back(std::move(entry));
     }
     digest.unixMillis = reader.takeInteger();
@@ -161,7 +162,8 @@
 {
     Json shares = Json::array();
     for (const EndpointShare& share : digest.shares)
-        shares.push_back(Json::array({share.endpoint, share.running, share.pieces, share.promptTokens}));
+        shares.push_back(Json::array({share.endpoint, share.running, share.pieces,
+            share.promptTokens, share.latePromptTokens}));
     return toFrame(PeerMessageKind::Digest,
         Json::array({vmToJson(digest.sender), digest.sequence, digest.echo, digest.configVersion,
             digest.proofAgeMillis, digest.isStoreDown, Json(digest.leavingEndpoints), shares,
--- a/ragwortwinch/node/gateway_duties.cc
+++ b/ragwortwinch/node/gateway_duties.cc
@@ -1,6 +1,7 @@
 #include "ragwortwinch/node/gateway_duties.h"
 
 #include "platform/duty_calls.h"
+#include "platform/engine_calls.h"
 #include "ragwortwinch/base/digest.h"
 
 namespace ragwortwinch {
@@ -10,6 +11,7 @@
 constexpr const char* usageShard = "0";
 constexpr const char* dutyName = "control";
 constexpr Millis retryInterval{500};
+constexpr Millis planInterval{250};
 
 LeaseOptions leaseOptions(const GatewaySettings& settings)
 {
@@ -30,12 +32,13 @@
 }
 
 GatewayDuties::GatewayDuties(const GatewaySettings& settings, const std::string& incarnation,
-    asio::io_context& context, StoreRunner& runner, OpIds& ids)
+    asio::io_context& context, StoreRunner& runner, OpIds& ids, HttpClient& client)
     : settings_(settings)
     , context_(context)
     , runner_(runner)
     , lease_(dutyName, settings.node, incarnation, ids, leaseOptions(settings))
     , closer_(usageShard, ids, {settings.usageWindow, settings.usageGrace, retryInterval})
+    , client_(client)
     , sender_(settings.sendBound)
 {
 }
@@ -79,6 +82,65 @@
 {
     tickLease(now, candidates);
     reportUsage(now, unixMillis);
+    planFleet(now);
+}
+
+void GatewayDuties::planFleet(Instant now)
+{
+    Authority held = authority(now);
+    if (held.epoch == 0 || !held.isQuietPeriodOver || isReleasing_ || now < nextPlan_)
+        return;
+    nextPlan_ = now + planInterval;
+    if (held.epoch != plannedEpoch_) {
+        plannedEpoch_ = held.epoch;
+        counts_.reset();
+        roles_.reset();
+    }
+    for (const CountOrder& order : counts_.tick(now, services_, records_))
+        orderCount(order);
+    for (const RoleOrder& order : roles_.tick(now, records_))
+        orderRole(order);
+}
+
+void GatewayDuties::orderCount(const CountOrder& order)
+{
+    AuthoritySend send = platform::endpointCountOrder(settings_.dutyUrl, {settings_.node, lease_.epoch()},
+        order.service, order.availabilityZone, order.count, order.isReclaimable);
+    send.authorityEnd = lease_.authorityEnd();
+    sender_.post(std::move(send), [this, order](SendOutcome outcome) {
+        asio::post(context_, [this, order, outcome] {
+            counts_.onResult(SystemClock().now(), order, outcome);
+        });
+    });
+}
+
+void GatewayDuties::orderRole(const RoleOrder& order)
+{
+    client_.start(platform::engineReportCall(order.engine, settings_.sendBound),
+        [this, order](const HttpCallResult& result) {
+            std::optional<platform::EngineReport> report
+                = result.isOk() ? platform::decodeEngineReport(result.body) : std::nullopt;
+            asio::post(context_, [this, order, report] {
+                bool isPossible = report && !report->isBusy && report->role != order.role;
+                if (isPossible)
+                    sendRole(order, report->ordersAccepted);
+            });
+        });
+}
+
+void GatewayDuties::sendRole(const RoleOrder& order, std::int64_t expectedOrders)
+{
+    Instant now = SystemClock().now();
+    Authority held = authority(now);
+    if (held.epoch == 0 || !held.isQuietPeriodOver || isReleasing_)
+        return;
+    AuthoritySend send
+        = platform::roleOrder(order.engine, {settings_.node, held.epoch}, order.role, expectedOrders);
+    send.authorityEnd = lease_.authorityEnd();
+    sender_.post(std::move(send), [this, order](SendOutcome outcome) {
+        asio::post(
+            context_, [this, order, outcome] { roles_.onResult(SystemClock().now(), order, outcome); });
+    });
 }
 
 Json GatewayDuties::dump(Instant now) const
--- a/ragwortwinch/node/gateway_duties.h
+++ b/ragwortwinch/node/gateway_duties.h
@@ -8,13 +8,16 @@
 #pragma once
 
 #include "ragwortwinch/config/gateway_settings.h"
+#include "ragwortwinch/fleet/count_planner.h"
 #include "ragwortwinch/fleet/order_sender.h"
+#include "ragwortwinch/fleet/role_planner.h"
 #include "ragwortwinch/lease/lease_keeper.h"
 #include "ragwortwinch/node/store_runner.h"
 #include "ragwortwinch/usage/window_closer.h"
 
 #include <set>
 #include <string>
+#include <vector>
 
 namespace ragwortwinch {
 
@@ -22,10 +25,13 @@
 public:
     // All references outlive the object.
     GatewayDuties(const GatewaySettings& settings, const std::string& incarnation, asio::io_context& context,
-        StoreRunner& runner, OpIds& ids);
+        StoreRunner& runner, OpIds& ids, HttpClient& client);
 
     // `candidates` are the other VMs that could take the duty now.
     void tick(Instant now, std::int64_t unixMillis, const std::set<std::string>& candidates);
+    // What exists, for the planners.
+    void setServices(std::vector<ServiceRule> services) { services_ = std::move(services); }
+    void setEndpoints(std::vector<EndpointRecord> records) { records_ = std::move(records); }
     void releaseAll() { isReleasing_ = true; }
     bool isReleased() const { return lease_.state() == LeaseState::Idle; }
     Json dump(Instant now) const;
@@ -34,12 +40,24 @@
     Authority authority(Instant now) const;
     void tickLease(Instant now, const std::set<std::string>& candidates);
     void reportUsage(Instant now, std::int64_t unixMillis);
+    void planFleet(Instant now);
+    void orderCount(const CountOrder& order);
+    // Reads the engine's report first, so that the order can name what it expects.
+    void orderRole(const RoleOrder& order);
+    void sendRole(const RoleOrder& order, std::int64_t expectedOrders);
 
     const GatewaySettings& settings_;
     asio::io_context& context_;
     StoreRunner& runner_;
     LeaseKeeper lease_;
     WindowCloser closer_;
+    HttpClient& client_;
+    CountPlanner counts_;
+    RolePlanner roles_;
+    std::vector<ServiceRule> services_;
+    std::vector<EndpointRecord> records_;
+    std::uint64_t plannedEpoch_ = 0;
+    Instant nextPlan_;
     bool isReleasing_ = false;
     // Last, so that its thread ends before what its callbacks refer to.
     OrderSender sender_;
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -105,7 +105,7 @@
     settings_.adminAddress.port = adminServer_->port();
     registration_ = std::make_unique<VmRegistration>(selfInfo(), opIds_, registrationTtl);
     duties_ = std::make_unique<GatewayDuties>(
-        settings_, std::to_string(incarnation_), context_, runner_, opIds_);
+        settings_, std::to_string(incarnation_), context_, runner_, opIds_, *storeClient_);
     time_.onOwnClock(clock_.now(), clock_.unixMillis());
     scheduleTick();
     controlThread_ = std::thread([this] { context_.run(); });
@@ -158,8 +158,10 @@
     }
     for (const FollowerNews& news : follower_.takeNews())
         onNews(now, news);
-    if (endpoints_.tick(now))
+    if (endpoints_.tick(now)) {
         forward_->setEndpoints(endpoints_.records(), settings_.regions);
+        duties_->setEndpoints(endpoints_.records());
+    }
 }
 
 void GatewayNode::onNews(Instant now, const FollowerNews& news)
@@ -247,6 +249,7 @@
         .with("teams", config->teams.size());
     configVersion_ = config->version;
     configText_ = text;
+    duties_->setServices(config->services);
     std::shared_ptr<const TrafficTable> table = std::make_shared<TrafficTable>(std::move(*config));
     traffic_.replace(std::make_unique<std::shared_ptr<const TrafficTable>>(std::move(table)));
 }
@@ -324,7 +327,7 @@
     digest.isStoreDown = follower_.isStoreLost();
     digest.unixMillis = clock_.unixMillis();
     for (const auto& [endpoint, work] : forward_->work())
-        digest.shares.push_back({endpoint, work.running, 0, work.promptTokens});
+        digest.shares.push_back({endpoint, work.running, 0, work.promptTokens.onTime, work.promptTokens.late});
     return digest;
 }
 
@@ -341,7 +344,8 @@
             continue;
         for (const EndpointShare& share : shares) {
             elsewhere[share.endpoint].running += share.running;
-            elsewhere[share.endpoint].promptTokens += share.promptTokens;
+            elsewhere[share.endpoint].promptTokens.onTime += share.promptTokens;
+            elsewhere[share.endpoint].promptTokens.late += share.latePromptTokens;
         }
     }
     forward_->setWorkElsewhere(std::move(elsewhere));
@@ -391,7 +395,7 @@
         LogEvent("node.draining")
             .with("node", settings_.node)
             .with("busy_connections", forward_->sessionsWithRequests());
-        forward_->beginDrain();
+        forward_->beginDrain(drainStart_ + settings_.stopBound);
         registration_->remove();
         duties_->releaseAll();
         flusher_.flushSoon();
--- a/ragwortwinch/node/node.cc
+++ b/ragwortwinch/node/node.cc
@@ -268,7 +268,7 @@
         if (endpoint->isLeaving())
             digest.leavingEndpoints[endpoint->name()] = endpoint->incarnation();
         if (endpoint->ownRunning() > 0)
-            digest.shares.push_back({endpoint->name(), endpoint->ownRunning(), endpoint->ownPieces(), 0});
+            digest.shares.push_back({endpoint->name(), endpoint->ownRunning(), endpoint->ownPieces(), 0, 0});
     }
     return digest;
 }
