--- a/ragwortwinch/base/log_writer.cc
+++ b/ragwortwinch/base/log_writer.cc
@@ -55,9 +55,8 @@
     wake_.notify_one();
     // A reader that takes nothing would hold the thread forever.
     std::unique_lock<std::mutex> lock(mutex_);
-    bool isStuck = isWriting_ && !drained_.wait_for(lock, std::chrono::milliseconds(pollMillis), [this] {
-        return !isWriting_;
-    });
+    bool isStuck = isWriting_
+        && !drained_.wait_for(lock, std::chrono::milliseconds(pollMillis), [this] { return !isWriting_; });
     lock.unlock();
     if (isStuck)
         pthread_cancel(thread_.native_handle());
--- a/ragwortwinch/config/gateway_settings.cc
+++ b/ragwortwinch/config/gateway_settings.cc
@@ -33,7 +33,8 @@
     settings.storeUrl = internal::readUrl(reader, "store_url");
     settings.dutyUrl = internal::readUrl(reader, "duty_url");
     settings.seedPeers = internal::readAddresses(reader, "seed_peers");
-    settings.heartbeatInterval = internal::readMillis(reader, "heartbeat_ms", settings.heartbeatInterval, 20, 10000);
+    settings.heartbeatInterval
+        = internal::readMillis(reader, "heartbeat_ms", settings.heartbeatInterval, 20, 10000);
     settings.leaseTtl = internal::readMillis(reader, "lease_ttl_ms", settings.leaseTtl, 1000, 120000);
     settings.clockMargin = internal::readMillis(reader, "clock_margin_ms", settings.clockMargin, 10, 10000);
     settings.sendBound = internal::readMillis(reader, "send_bound_ms", settings.sendBound, 100, 30000);
--- a/ragwortwinch/config/internal/settings_fields.cc
+++ b/ragwortwinch/config/internal/settings_fields.cc
@@ -29,8 +29,8 @@
     return addresses;
 }
 
-Millis readMillis(FieldReader& reader, const std::string& field, Millis fallback, std::int64_t least,
-    std::int64_t most)
+Millis readMillis(
+    FieldReader& reader, const std::string& field, Millis fallback, std::int64_t least, std::int64_t most)
 {
     return Millis(reader.number(field, fallback.count(), least, most));
 }
--- a/ragwortwinch/config/internal/settings_fields.h
+++ b/ragwortwinch/config/internal/settings_fields.h
@@ -15,8 +15,8 @@
 
 SocketAddress readAddress(FieldReader& reader, const std::string& field);
 std::vector<SocketAddress> readAddresses(FieldReader& reader, const std::string& field);
-Millis readMillis(FieldReader& reader, const std::string& field, Millis fallback, std::int64_t least,
-    std::int64_t most);
+Millis readMillis(
+    FieldReader& reader, const std::string& field, Millis fallback, std::int64_t least, std::int64_t most);
 std::string readUrl(FieldReader& reader, const std::string& field);
 
 enum class UnknownFields { Refuse, LogAndIgnore };
--- a/ragwortwinch/config/settings.cc
+++ b/ragwortwinch/config/settings.cc
@@ -29,8 +29,10 @@
     settings.leaseTtl = internal::readMillis(reader, "lease_ttl_ms", settings.leaseTtl, 300, 120000);
     settings.clockMargin = internal::readMillis(reader, "clock_margin_ms", settings.clockMargin, 10, 10000);
     settings.sendBound = internal::readMillis(reader, "send_bound_ms", settings.sendBound, 100, 30000);
-    settings.heartbeatInterval = internal::readMillis(reader, "heartbeat_ms", settings.heartbeatInterval, 20, 10000);
-    settings.usageWindow = internal::readMillis(reader, "usage_window_ms", settings.usageWindow, 500, 3600000);
+    settings.heartbeatInterval
+        = internal::readMillis(reader, "heartbeat_ms", settings.heartbeatInterval, 20, 10000);
+    settings.usageWindow
+        = internal::readMillis(reader, "usage_window_ms", settings.usageWindow, 500, 3600000);
     settings.drainBound = internal::readMillis(reader, "drain_bound_ms", settings.drainBound, 100, 3600000);
     settings.mayHoldDuties = reader.boolean("may_hold_duties", settings.mayHoldDuties);
     if (settings.clockMargin * 4 > settings.leaseTtl)
--- a/ragwortwinch/fleet/count_planner.cc
+++ b/ragwortwinch/fleet/count_planner.cc
@@ -30,15 +30,26 @@
         for (const auto& [name, zone] : zones) {
             // Both kinds together stay within the limit while regular ones are still there.
             std::int64_t room = std::max<std::int64_t>(0, rule.maximumPerZone - zone.regular);
-            consider(now, {service.name, name, std::min(reclaimableTarget, room), true}, zone.reclaimable, orders);
-            bool isReplaced = zone.reclaimable >= zone.regular - regularTarget;
-            if (zone.regular > regularTarget && isReplaced && zone.reclaimable > 0)
+            consider(
+                now, {service.name, name, std::min(reclaimableTarget, room), true}, zone.reclaimable, orders);
+            std::int64_t fallback = std::max(regularTarget, rule.maximumPerZone / 2);
+            bool areReclaimed = zone.reclaimable == 0 && wasOrdered(service.name, name);
+            bool isReplaced = zone.reclaimable > 0 && zone.reclaimable >= zone.regular - regularTarget;
+            if (zone.regular < fallback && areReclaimed)
+                consider(now, {service.name, name, fallback, false}, zone.regular, orders);
+            else if (zone.regular > regularTarget && isReplaced)
                 consider(now, {service.name, name, regularTarget, false}, zone.regular, orders);
         }
     }
     return orders;
 }
 
+bool CountPlanner::wasOrdered(const std::string& service, const std::string& zone) const
+{
+    auto found = subjects_.find({service, zone, true});
+    return found != subjects_.end() && !found->second.isUnderWay;
+}
+
 void CountPlanner::consider(
     Instant now, const CountOrder& wanted, std::int64_t present, std::vector<CountOrder>& orders)
 {
--- a/ragwortwinch/fleet/count_planner.h
+++ b/ragwortwinch/fleet/count_planner.h
@@ -4,10 +4,10 @@
 //     for (const CountOrder& order : planner.tick(now, services, records)) send(order);
 //     planner.onResult(now, order, SendOutcome::Applied);
 //
-// It answers demand that swings within seconds, faster than endpoints start: capacity has to stand ready, so it
-// is held on reclaimable endpoints where these cost a fraction, and on as few regular ones as the operators
-// allow. The regular ones are given back only once their replacements serve. Holds no clock and no socket; not
-// thread-safe.
+// It answers demand that swings within seconds, faster than endpoints start: capacity has to stand ready, so
+// it is held on reclaimable endpoints where these cost a fraction, and on as few regular ones as the
+// operators allow. The regular ones are given back only once their replacements serve. Holds no clock and no
+// socket; not thread-safe.
 #pragma once
 
 #include "ragwortwinch/base/time.h"
@@ -61,7 +61,11 @@
         std::int64_t reclaimable = 0;
     };
 
-    void consider(Instant now, const CountOrder& wanted, std::int64_t present, std::vector<CountOrder>& orders);
+    void consider(
+        Instant now, const CountOrder& wanted, std::int64_t present, std::vector<CountOrder>& orders);
+
+    // Whether reclaimable endpoints were ordered there, and the order has been answered.
+    bool wasOrdered(const std::string& service, const std::string& zone) const;
 
     std::map<Key, Subject> subjects_;
 };
--- a/ragwortwinch/fleet/planner_test.cc
+++ b/ragwortwinch/fleet/planner_test.cc
@@ -6,12 +6,10 @@
 namespace ragwortwinch {
 namespace {
 
-Instant at(int millis)
-{
-    return Instant(Millis(500000 + millis));
-}
+Instant at(int millis) { return Instant(Millis(500000 + millis)); }
 
-EndpointRecord engine(const std::string& id, const std::string& zone, EngineRole role, bool isReclaimable = false)
+EndpointRecord engine(
+    const std::string& id, const std::string& zone, EngineRole role, bool isReclaimable = false)
 {
     EndpointRecord record;
     record.id = id;
@@ -60,6 +58,29 @@
     CHECK(orders[0].count == 5);
 }
 
+TEST_CASE("a zone that lost its cheap endpoints gets regular ones until they are back")
+{
+    CountPlanner planner;
+    std::vector<EndpointRecord> records{engine("a", "z", EngineRole::Decode)};
+    std::vector<CountOrder> orders = planner.tick(at(0), modelService(0.15), records);
+    REQUIRE(orders.size() == 1);
+    planner.onResult(at(0), orders[0], SendOutcome::Refused);
+    orders = planner.tick(at(500), modelService(0.15), records);
+    REQUIRE(orders.size() == 1);
+    CHECK_FALSE(orders[0].isReclaimable);
+    CHECK(orders[0].count == 3);
+    planner.onResult(at(500), orders[0], SendOutcome::Applied);
+    for (const char* id : {"b", "c"})
+        records.push_back(engine(id, "z", EngineRole::Decode));
+    for (const char* id : {"d", "e", "f"})
+        records.push_back(engine(id, "z", EngineRole::Prefill, true));
+    orders = planner.tick(at(9000), modelService(0.15), records);
+    bool isGivenBack = false;
+    for (const CountOrder& order : orders)
+        isGivenBack = isGivenBack || (!order.isReclaimable && order.count == 1);
+    CHECK(isGivenBack);
+}
+
 TEST_CASE("endpoints that are hardly cheaper are not ordered")
 {
     CountPlanner planner;
@@ -111,7 +132,8 @@
 TEST_CASE("a zone never loses its last engine that makes tokens")
 {
     RolePlanner planner;
-    std::vector<EndpointRecord> records{engine("a", "z", EngineRole::Prefill), engine("b", "z", EngineRole::Decode, true)};
+    std::vector<EndpointRecord> records{
+        engine("a", "z", EngineRole::Prefill), engine("b", "z", EngineRole::Decode, true)};
     std::vector<RoleOrder> orders = planner.tick(at(0), records);
     REQUIRE(orders.size() == 1);
     CHECK(orders[0].engine.id == "a");
--- a/ragwortwinch/fleet/role_planner.cc
+++ b/ragwortwinch/fleet/role_planner.cc
@@ -37,12 +37,13 @@
     std::size_t decodersNow = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(),
         [](const EndpointRecord& engine) { return engine.role == EngineRole::Decode; }));
     // Engines that are away or may soon be count for neither role.
-    std::size_t changing = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(),
-        [&](const EndpointRecord& engine) { return isPaused(now, engine); }));
-    decodersNow -= std::min(decodersNow, static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(),
-        [&](const EndpointRecord& engine) {
-            return engine.role == EngineRole::Decode && isPaused(now, engine);
-        })));
+    std::size_t changing = static_cast<std::size_t>(std::count_if(
+        engines.begin(), engines.end(), [&](const EndpointRecord& engine) { return isPaused(now, engine); }));
+    decodersNow -= std::min(decodersNow,
+        static_cast<std::size_t>(
+            std::count_if(engines.begin(), engines.end(), [&](const EndpointRecord& engine) {
+                return engine.role == EngineRole::Decode && isPaused(now, engine);
+            })));
     for (std::size_t index = 0; index < engines.size(); ++index) {
         EngineRole wanted = index < decoders ? EngineRole::Decode : EngineRole::Prefill;
         const EndpointRecord& engine = engines[index];
--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -17,10 +17,7 @@
 // More late answers than this on one connection, and it is of no use.
 constexpr int maxStrayAnswers = 4;
 
-std::string_view toView(boost::beast::string_view text)
-{
-    return {text.data(), text.size()};
-}
+std::string_view toView(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
 } // namespace
 
--- a/ragwortwinch/forward/attempt.h
+++ b/ragwortwinch/forward/attempt.h
@@ -72,8 +72,8 @@
 class Attempt : public std::enable_shared_from_this<Attempt> {
 public:
     // `listener` stays valid until the end or `cancel`. `pool` and `codec` outlive the attempt.
-    Attempt(boost::asio::io_context& context, ChannelPool& pool, const RequestCodec& codec, const Clock& clock,
-        UpstreamPointer endpoint, AttemptOptions options, AttemptListener& listener);
+    Attempt(boost::asio::io_context& context, ChannelPool& pool, const RequestCodec& codec,
+        const Clock& clock, UpstreamPointer endpoint, AttemptOptions options, AttemptListener& listener);
 
     // Sends the header and the body; `body` outlives the attempt through `owner`.
     void start(std::string head, std::shared_ptr<const std::string> body);
--- a/ragwortwinch/forward/bad_input_test.cc
+++ b/ragwortwinch/forward/bad_input_test.cc
@@ -26,11 +26,13 @@
 TEST_CASE("malformed and oversized requests are refused, and the rest goes on")
 {
     const std::vector<BadInput> inputs{
-        {"length and chunks", head("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n", "400"},
+        {"length and chunks", head("Content-Length: 3\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n",
+            "400"},
         {"two lengths", head("Content-Length: 3\r\nContent-Length: 5\r\n") + "abc", "400"},
         {"the same length twice", head("Content-Length: 3\r\nContent-Length: 3\r\n") + "abc", "400"},
         {"an encoding that isn't chunks", head("Transfer-Encoding: gzip\r\n") + "abc", "400"},
-        {"an encoding hidden by a second one", head("Transfer-Encoding: chunked, identity\r\n") + "abc", "400"},
+        {"an encoding hidden by a second one", head("Transfer-Encoding: chunked, identity\r\n") + "abc",
+            "400"},
         {"a negative length", head("Content-Length: -1\r\n"), "400"},
         {"no host", "POST /once/a HTTP/1.1\r\nId: r1\r\nKey: key\r\nContent-Length: 0\r\n\r\n", "400"},
         {"two hosts", head("Host: other\r\nContent-Length: 0\r\n"), "400"},
@@ -102,7 +104,8 @@
     });
     fixture.setEndpoints({&endpoint});
     RawSocket caller = fixture.connect();
-    caller.send(ForwardFixture::request("/once/a", "r1", "one") + ForwardFixture::request("/once/b", "r2", "two"));
+    caller.send(
+        ForwardFixture::request("/once/a", "r1", "one") + ForwardFixture::request("/once/b", "r2", "two"));
     CHECK(caller.readMessage().ends_with("own r1"));
     CHECK(caller.readMessage().ends_with("own r2"));
 }
--- a/ragwortwinch/forward/caller_session.cc
+++ b/ragwortwinch/forward/caller_session.cc
@@ -27,10 +27,7 @@
 constexpr Millis lingerTime{300};
 constexpr std::size_t lingerBytes = 4096;
 
-std::string chunk(std::string_view bytes)
-{
-    return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
-}
+std::string chunk(std::string_view bytes) { return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes); }
 
 } // namespace
 
@@ -43,10 +40,7 @@
 {
 }
 
-CallerSession::~CallerSession()
-{
-    releaseHeld();
-}
+CallerSession::~CallerSession() { releaseHeld(); }
 
 void CallerSession::start()
 {
@@ -78,8 +72,8 @@
     if (isWatching_ || state_ == State::Closed)
         return;
     isWatching_ = true;
-    socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
-        [self = shared_from_this()](const ErrorCode& error) {
+    socket_.async_wait(
+        boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
             self->isWatching_ = false;
             self->onReadable(error);
         });
@@ -124,7 +118,8 @@
     parser_->header_limit(bounds.maxHeaderBytes);
     parser_->body_limit(bounds.maxBodyBytes);
     armTimer(bounds.headerTimeout, [this] {
-        rejectInput(statusTimeout, ErrorKind::BadRequest, "the header took too long; the request was not run");
+        rejectInput(
+            statusTimeout, ErrorKind::BadRequest, "the header took too long; the request was not run");
     });
     http::async_read_header(socket_, buffer_, *parser_,
         [self = shared_from_this()](const ErrorCode& error, std::size_t) { self->onHeader(error); });
@@ -344,8 +339,8 @@
     std::shared_ptr<std::function<void()>> drain = std::make_shared<std::function<void()>>();
     std::weak_ptr<std::function<void()>> weak = drain;
     *drain = [self = shared_from_this(), sink, weak] {
-        self->socket_.async_read_some(
-            boost::asio::buffer(*sink), [self, sink, drain = weak.lock()](const ErrorCode& error, std::size_t) {
+        self->socket_.async_read_some(boost::asio::buffer(*sink),
+            [self, sink, drain = weak.lock()](const ErrorCode& error, std::size_t) {
                 if (error)
                     self->close();
                 else if (drain)
@@ -369,11 +364,11 @@
         return;
     }
     timer_.expires_after(bound);
-    timer_.async_wait([self = shared_from_this(), generation, onExpired = std::move(onExpired)](
-                          const ErrorCode& error) {
-        if (!error && generation == self->timerGeneration_ && self->state_ != State::Closed)
-            onExpired();
-    });
+    timer_.async_wait(
+        [self = shared_from_this(), generation, onExpired = std::move(onExpired)](const ErrorCode& error) {
+            if (!error && generation == self->timerGeneration_ && self->state_ != State::Closed)
+                onExpired();
+        });
 }
 
 void CallerSession::close()
--- a/ragwortwinch/forward/channel_pool.cc
+++ b/ragwortwinch/forward/channel_pool.cc
@@ -7,7 +7,8 @@
 bool ChannelPool::isFresh(const EndpointChannel& channel, Instant now, double part)
 {
     Millis life = channel.keepAlive.count() > 0 ? channel.keepAlive : defaultKeepAlive;
-    return std::chrono::duration<double>(now - channel.idleSince) < std::chrono::duration<double>(life) * part;
+    return std::chrono::duration<double>(now - channel.idleSince)
+        < std::chrono::duration<double>(life) * part;
 }
 
 ChannelPointer ChannelPool::take(const UpstreamPointer& endpoint, Instant now, double maxIdlePart)
--- a/ragwortwinch/forward/decisions_test.cc
+++ b/ragwortwinch/forward/decisions_test.cc
@@ -12,10 +12,7 @@
 namespace ragwortwinch {
 namespace {
 
-Instant at(int millis)
-{
-    return Instant(Millis(1000000 + millis));
-}
+Instant at(int millis) { return Instant(Millis(1000000 + millis)); }
 
 UpstreamPointer endpoint(const std::string& id, const std::string& zone, EngineRole role = EngineRole::None)
 {
--- a/ragwortwinch/forward/endpoint_channel.cc
+++ b/ragwortwinch/forward/endpoint_channel.cc
@@ -13,15 +13,9 @@
     ++endpoint_->openChannels;
 }
 
-EndpointChannel::~EndpointChannel()
-{
-    --endpoint_->openChannels;
-}
+EndpointChannel::~EndpointChannel() { --endpoint_->openChannels; }
 
-void EndpointChannel::configure()
-{
-    internal::setStreamOptions(socket_);
-}
+void EndpointChannel::configure() { internal::setStreamOptions(socket_); }
 
 bool EndpointChannel::isQuiet()
 {
@@ -32,9 +26,6 @@
     return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void EndpointChannel::reset()
-{
-    internal::resetSocket(socket_);
-}
+void EndpointChannel::reset() { internal::resetSocket(socket_); }
 
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/endpoint_chooser.cc
+++ b/ragwortwinch/forward/endpoint_chooser.cc
@@ -74,8 +74,8 @@
     std::vector<UpstreamPointer> good;
     std::vector<UpstreamPointer> suspect;
     for (const UpstreamPointer& endpoint : candidates) {
-        bool isExcluded = std::find(query.excluded.begin(), query.excluded.end(), endpoint.get())
-            != query.excluded.end();
+        bool isExcluded
+            = std::find(query.excluded.begin(), query.excluded.end(), endpoint.get()) != query.excluded.end();
         if (isExcluded || !endpoint->isUsable())
             continue;
         if (!endpoint->outcomes.isOnProbation()) {
--- a/ragwortwinch/forward/endpoint_directory.cc
+++ b/ragwortwinch/forward/endpoint_directory.cc
@@ -22,8 +22,8 @@
         auto region = regions.find(record.availabilityZone);
         endpoint->region = region == regions.end() ? std::string() : region->second;
         boost::system::error_code ignored;
-        endpoint->socketAddress = {
-            boost::asio::ip::make_address(record.address.host, ignored), record.address.port};
+        endpoint->socketAddress
+            = {boost::asio::ip::make_address(record.address.host, ignored), record.address.port};
         next[key] = endpoint;
         byService_[record.service].push_back(endpoint);
     }
--- a/ragwortwinch/forward/endpoint_directory.h
+++ b/ragwortwinch/forward/endpoint_directory.h
@@ -26,7 +26,8 @@
 class EndpointDirectory {
 public:
     // `regions` names the region of each availability zone.
-    void update(const std::vector<EndpointRecord>& records, const std::map<std::string, std::string>& regions);
+    void update(
+        const std::vector<EndpointRecord>& records, const std::map<std::string, std::string>& regions);
     // The work of other VMs at each endpoint, by id.
     void setWorkElsewhere(const std::map<std::string, EndpointWork>& work);
 
--- a/ragwortwinch/forward/engine_chooser.h
+++ b/ragwortwinch/forward/engine_chooser.h
@@ -5,9 +5,10 @@
 //     if (!choice) refuse();
 //
 // It answers the load of prompts that share long parts, in swings beyond what the engines can read: reading a
-// part again costs engine time that others need, so it counts more than the way to an engine that has it. What
-// can't be on time is read behind what can, as long as it can be answered at all. Engines for decode read
-// prompts only when those for prefill can't in time, since every piece that they read delays their tokens.
+// part again costs engine time that others need, so it counts more than the way to an engine that has it.
+// What can't be on time is read behind what can, as long as it can be answered at all. Engines for decode
+// read prompts only when those for prefill can't in time, since every piece that they read delays their
+// tokens.
 #pragma once
 
 #include "ragwortwinch/base/time.h"
--- a/ragwortwinch/forward/engine_load.cc
+++ b/ragwortwinch/forward/engine_load.cc
@@ -32,9 +32,6 @@
     speed_ += (sample - speed_) * sampleWeight;
 }
 
-void EngineLoad::onDropped(const PromptTicket& ticket)
-{
-    own_.of(ticket.lane) -= ticket.tokens;
-}
+void EngineLoad::onDropped(const PromptTicket& ticket) { own_.of(ticket.lane) -= ticket.tokens; }
 
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -25,10 +25,7 @@
 // An answer that is held as a whole may have this many bytes.
 constexpr std::size_t maxWholeAnswer = 16 * 1024 * 1024;
 
-bool isFinalFailure(int status)
-{
-    return status >= statusServerError;
-}
+bool isFinalFailure(int status) { return status >= statusServerError; }
 
 } // namespace
 
@@ -67,8 +64,8 @@
     route_ = traffic_->findRoute(request_->host(), request_->path());
     if (!route_) {
         reject(statusNotFound, ErrorKind::NoRoute,
-            fmt::format("no route for this host and path in version {} of the configuration",
-                traffic_->version()));
+            fmt::format(
+                "no route for this host and path in version {} of the configuration", traffic_->version()));
         return false;
     }
     if (traffic_->hasTeams() && !route_->isOpen) {
@@ -86,8 +83,8 @@
         return false;
     }
     deadline_ = startedAt_ + std::min(request_->caller.timeLimit.value_or(route_->timeout), route_->timeout);
-    bool mayOutliveUs = context_.drain && startedAt_ >= context_.drain->takeUntil
-        && deadline_ >= context_.drain->end;
+    bool mayOutliveUs
+        = context_.drain && startedAt_ >= context_.drain->takeUntil && deadline_ >= context_.drain->end;
     if (mayOutliveUs) {
         refuse(ErrorKind::Draining, "this VM is stopping; the request was not run, use another VM");
         return false;
@@ -103,10 +100,9 @@
     std::int64_t total = 0;
     for (const ServiceShare& share : shares)
         total += share.weight;
-    std::int64_t point = total > 0
-        ? static_cast<std::int64_t>(
-              std::hash<std::string>()(request_->caller.id) % static_cast<std::uint64_t>(total))
-        : 0;
+    std::int64_t point = total > 0 ? static_cast<std::int64_t>(std::hash<std::string>()(request_->caller.id)
+                             % static_cast<std::uint64_t>(total))
+                                   : 0;
     for (const ServiceShare& share : shares) {
         service_ = share.service;
         point -= share.weight;
@@ -124,10 +120,7 @@
     });
 }
 
-Millis Exchange::timeLeft() const
-{
-    return std::max(Millis(0), deadline_ - context_.clock.now());
-}
+Millis Exchange::timeLeft() const { return std::max(Millis(0), deadline_ - context_.clock.now()); }
 
 void Exchange::onDeadline()
 {
@@ -177,8 +170,7 @@
     if (!route_->hasPromptCache || !request_->caller.lastEventId.empty())
         return false;
     const ServiceRule* service = traffic_->findService(service_);
-    return service && service->engine
-        && request_->caller.promptTokens >= context_.options.minPrefillTokens;
+    return service && service->engine && request_->caller.promptTokens >= context_.options.minPrefillTokens;
 }
 
 void Exchange::placePrompt()
@@ -222,7 +214,7 @@
     own.isPrefill = true;
     AttemptOptions options = attemptOptions();
     // The prompt can be read elsewhere, so a silent engine is left early on any route.
-    options.firstByteTimeout = route_->targetLatency * context_.options.silentTargets;
+    options.firstByteTimeout = silenceBound();
     options.maxIdlePart = ChannelPool::usedIdlePart;
     prefill_ = std::make_shared<PrefillStep>(context_, choice.engine,
         [self = shared_from_this()](const PrefillResult& result) { self->onPrefillDone(result); });
@@ -290,8 +282,8 @@
         query.spillOccupancy = neverSpill;
     } else if (route_->kind == RouteKind::Stream)
         query.spillOccupancy = longAnswerSpillOccupancy;
-    UpstreamPointer endpoint = context_.chooser.choose(
-        query, context_.endpoints.runners(service_), context_.clock.now());
+    UpstreamPointer endpoint
+        = context_.chooser.choose(query, context_.endpoints.runners(service_), context_.clock.now());
     if (endpoint) {
         send(endpoint);
         return;
@@ -344,7 +336,16 @@
     return head;
 }
 
-AttemptOptions Exchange::attemptOptions() const
+Millis Exchange::silenceBound()
+{
+    bool canRepeat = sends_ + 1 < context_.options.maxSends && lane_ == PromptLane::OnTime
+        && context_.budgetOf(service_).available(context_.clock.now()) > 0;
+    if (!canRepeat)
+        return Millis(0);
+    return route_->targetLatency * context_.options.silentTargets + estimate_ * 2;
+}
+
+AttemptOptions Exchange::attemptOptions()
 {
     AttemptOptions options;
     options.requestId = request_->caller.id;
@@ -353,8 +354,7 @@
     options.maxIdlePart = context_.options.maxIdlePartOnce;
     if (route_->mayRepeat()) {
         options.maxIdlePart = ChannelPool::usedIdlePart;
-        if (sends_ + 1 < context_.options.maxSends)
-            options.firstByteTimeout = route_->targetLatency * context_.options.silentTargets;
+        options.firstByteTimeout = silenceBound();
         if (route_->kind == RouteKind::Stream && route_->targetGap.count() > 0)
             options.gapTimeout = route_->targetGap * context_.options.silentGaps;
     }
@@ -499,8 +499,8 @@
         finish(RequestOutcome::Answered, statusOk);
         return;
     }
-    bool mayHaveRun = end != AttemptEnd::NotConnected && end != AttemptEnd::NotExecuted
-        && end != AttemptEnd::Misdirected;
+    bool mayHaveRun
+        = end != AttemptEnd::NotConnected && end != AttemptEnd::NotExecuted && end != AttemptEnd::Misdirected;
     if (!tryAgain(mayHaveRun)) {
         sink_->abort();
         finish(RequestOutcome::BrokenOff, replyStatus_);
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -64,7 +64,10 @@
     void onPrefillDone(const PrefillResult& result);
     void place();
     void send(const UpstreamPointer& endpoint);
-    AttemptOptions attemptOptions() const;
+    AttemptOptions attemptOptions();
+    // How long an endpoint may be silent before the request is sent elsewhere; zero means until its time
+    // limit.
+    Millis silenceBound();
     std::string makeHead(const ForwardedFields& own) const;
     ForwardedFields ownFields(const UpstreamPointer& endpoint) const;
     // Sends once more if the route, the budget and the time allow it.
--- a/ragwortwinch/forward/forward_metrics.cc
+++ b/ragwortwinch/forward/forward_metrics.cc
@@ -33,8 +33,8 @@
     , repeats_(counter(registry, "ragwortwinch_repeats_total", "Requests sent once more, by service"))
     , emptyBudgets_(counter(registry, "ragwortwinch_repeat_budget_empty_total",
           "Requests that were not sent once more because the budget was spent"))
-    , durations_(histogram(
-          registry, "ragwortwinch_request_duration_milliseconds", "From the whole request to the answer's end"))
+    , durations_(histogram(registry, "ragwortwinch_request_duration_milliseconds",
+          "From the whole request to the answer's end"))
     , firstBytes_(histogram(registry, "ragwortwinch_first_byte_milliseconds",
           "From the whole request to the answer's first byte"))
     , sessions_(gauge(registry, "ragwortwinch_caller_connections", "Open connections of callers"))
@@ -44,7 +44,8 @@
 
 void ForwardMetrics::onRequestEnd(const std::string& route, RequestOutcome outcome, Millis duration)
 {
-    requests_.Add({{"route", route}, {"outcome", std::string(requestOutcomeNames.name(outcome))}}).Increment();
+    requests_.Add({{"route", route}, {"outcome", std::string(requestOutcomeNames.name(outcome))}})
+        .Increment();
     durations_.Add({{"route", route}}, latencyBuckets).Observe(static_cast<double>(duration.count()));
 }
 
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -59,42 +59,35 @@
     io_.run();
 }
 
-void ForwardServer::stop()
-{
-    io_.stop();
-}
+void ForwardServer::stop() { io_.stop(); }
 
 void ForwardServer::accept()
 {
-    acceptor_.async_accept([this](const boost::system::error_code& error,
-                               boost::asio::ip::tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted)
-            return;
-        if (error) {
-            LogEvent("callers.accept_failed", Severity::Warning).with("problem", error.message());
-            acceptTimer_.expires_after(acceptPause);
-            acceptTimer_.async_wait([this](const boost::system::error_code&) { accept(); });
-            return;
-        }
-        if (sessions_.size() >= options_.maxSessions) {
-            LogEvent("callers.too_many", Severity::Warning).with("connections", sessions_.size());
-            boost::system::error_code ignored;
-            socket.close(ignored);
-        } else {
-            std::shared_ptr<CallerSession> session
-                = std::make_shared<CallerSession>(
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted)
+                return;
+            if (error) {
+                LogEvent("callers.accept_failed", Severity::Warning).with("problem", error.message());
+                acceptTimer_.expires_after(acceptPause);
+                acceptTimer_.async_wait([this](const boost::system::error_code&) { accept(); });
+                return;
+            }
+            if (sessions_.size() >= options_.maxSessions) {
+                LogEvent("callers.too_many", Severity::Warning).with("connections", sessions_.size());
+                boost::system::error_code ignored;
+                socket.close(ignored);
+            } else {
+                std::shared_ptr<CallerSession> session = std::make_shared<CallerSession>(
                     context_, static_cast<SessionOwner&>(*this), std::move(socket));
-            sessions_.insert(session);
-            session->start();
-        }
-        accept();
-    });
+                sessions_.insert(session);
+                session->start();
+            }
+            accept();
+        });
 }
 
-void ForwardServer::onSessionEnd(const std::shared_ptr<CallerSession>& session)
-{
-    sessions_.erase(session);
-}
+void ForwardServer::onSessionEnd(const std::shared_ptr<CallerSession>& session) { sessions_.erase(session); }
 
 bool ForwardServer::reserve(std::size_t bytes)
 {
@@ -140,7 +133,8 @@
     return work_;
 }
 
-void ForwardServer::setEndpoints(std::vector<EndpointRecord> records, std::map<std::string, std::string> regions)
+void ForwardServer::setEndpoints(
+    std::vector<EndpointRecord> records, std::map<std::string, std::string> regions)
 {
     boost::asio::post(io_, [this, records = std::move(records), regions = std::move(regions)] {
         endpoints_.update(records, regions);
--- a/ragwortwinch/forward/forward_server_test.cc
+++ b/ragwortwinch/forward/forward_server_test.cc
@@ -305,8 +305,7 @@
         CHECK(answer.find(data) != std::string::npos);
         CHECK(answer.find(data) == answer.rfind(data));
     }
-    std::vector<std::string> resumed
-        = first.requests().size() == 1 && second.requests().size() == 1
+    std::vector<std::string> resumed = first.requests().size() == 1 && second.requests().size() == 1
         ? std::vector<std::string>{first.requests()[0], second.requests()[0]}
         : std::vector<std::string>{};
     REQUIRE(resumed.size() == 2);
--- a/ragwortwinch/forward/prefill_step.cc
+++ b/ragwortwinch/forward/prefill_step.cc
@@ -26,9 +26,8 @@
         options.firstByteTimeout = callBound;
         options.gapTimeout = callBound;
         options.maxIdlePart = ChannelPool::usedIdlePart;
-        attempt_ = std::make_shared<Attempt>(
-            context.io, context.pool, context.codec, context.clock, endpoint, options,
-            static_cast<AttemptListener&>(*this));
+        attempt_ = std::make_shared<Attempt>(context.io, context.pool, context.codec, context.clock, endpoint,
+            options, static_cast<AttemptListener&>(*this));
         self_ = shared_from_this();
         attempt_->start(std::move(head), std::make_shared<const std::string>());
     }
@@ -58,16 +57,12 @@
 {
 }
 
-PrefillStep::~PrefillStep()
-{
-    cancel();
-}
+PrefillStep::~PrefillStep() { cancel(); }
 
 void PrefillStep::start(std::string head, std::shared_ptr<const std::string> body, AttemptOptions options)
 {
-    attempt_ = std::make_shared<Attempt>(
-        context_.io, context_.pool, context_.codec, context_.clock, endpoint_,
-        std::move(options), static_cast<AttemptListener&>(*this));
+    attempt_ = std::make_shared<Attempt>(context_.io, context_.pool, context_.codec, context_.clock,
+        endpoint_, std::move(options), static_cast<AttemptListener&>(*this));
     attempt_->start(std::move(head), std::move(body));
 }
 
@@ -78,10 +73,7 @@
     attempt_.reset();
 }
 
-void PrefillStep::onReplyHead(int status, std::string_view, const HttpFields&)
-{
-    status_ = status;
-}
+void PrefillStep::onReplyHead(int status, std::string_view, const HttpFields&) { status_ = status; }
 
 void PrefillStep::onReplyBody(std::string piece)
 {
--- a/ragwortwinch/forward/prefill_step.h
+++ b/ragwortwinch/forward/prefill_step.h
@@ -24,8 +24,8 @@
 
 class PrefillStep final : private AttemptListener {
 public:
-    PrefillStep(ForwardContext& context, UpstreamPointer endpoint,
-        std::function<void(const PrefillResult&)> onDone);
+    PrefillStep(
+        ForwardContext& context, UpstreamPointer endpoint, std::function<void(const PrefillResult&)> onDone);
     ~PrefillStep() override;
 
     void start(std::string head, std::shared_ptr<const std::string> body, AttemptOptions options);
--- a/ragwortwinch/forward/repeat_budget.cc
+++ b/ragwortwinch/forward/repeat_budget.cc
@@ -12,10 +12,7 @@
     return steps_.back();
 }
 
-void RepeatBudget::onRequest(Instant now)
-{
-    ++current(now).requests;
-}
+void RepeatBudget::onRequest(Instant now) { ++current(now).requests; }
 
 std::int64_t RepeatBudget::available(Instant now)
 {
--- a/ragwortwinch/lease/authority_fuse.h
+++ b/ragwortwinch/lease/authority_fuse.h
@@ -11,9 +11,9 @@
 // the thread runs another instruction of its own, so a process that wakes late finds its sockets gone. Bytes
 // that the kernel took before the end may still arrive: the quiet period of the next holder covers those.
 //
-// Where the kernel gives no such timer, the fuse falls back to the clock: `hasAuthority` is asked when a socket
-// is opened and again right before the first byte leaves. A process that is stopped between that check and
-// its send may then send late; the quiet period of the next holder covers the sends that were under way.
+// Where the kernel gives no such timer, the fuse falls back to the clock: `hasAuthority` is asked when a
+// socket is opened and again right before the first byte leaves. A process that is stopped between that check
+// and its send may then send late; the quiet period of the next holder covers the sends that were under way.
 //
 // Not covered: a pause of the whole VM during which CLOCK_BOOTTIME stands still. See
 // docs/design/authority.md.
--- a/ragwortwinch/lease/lease_options.h
+++ b/ragwortwinch/lease/lease_options.h
@@ -13,8 +13,8 @@
     Millis sendBound{1500};
     // How long to wait before trying again to acquire or renew.
     Millis retryInterval{500};
-    // Whether a lease that its holder gave back spares the next one the quiet period. Not where a duty must not
-    // return to a former holder within some time.
+    // Whether a lease that its holder gave back spares the next one the quiet period. Not where a duty must
+    // not return to a former holder within some time.
     bool trustsRelease = true;
 
     // How long a new holder waits before it sends to those that do not check fencing numbers.
--- a/ragwortwinch/membership/address_choice.h
+++ b/ragwortwinch/membership/address_choice.h
@@ -17,7 +17,8 @@
 // Fewer near VMs than this are filled up with farther ones.
 inline constexpr std::size_t leastChoice = 2;
 
-// Returns the VMs of the caller's availability zone; where these are few, those of its region and then others.
+// Returns the VMs of the caller's availability zone; where these are few, those of its region and then
+// others.
 std::vector<VmInfo> chooseEntryVms(
     std::vector<VmInfo> usable, const std::string& availabilityZone, const std::string& region);
 
--- a/ragwortwinch/membership/discovery_test.cc
+++ b/ragwortwinch/membership/discovery_test.cc
@@ -12,10 +12,7 @@
     return {name, zone, "region-of-" + zone, {"10.0.0.1", 80}, {"10.0.0.1", 81}, 5, false, true};
 }
 
-Instant at(int millis)
-{
-    return Instant(Millis(900000 + millis));
-}
+Instant at(int millis) { return Instant(Millis(900000 + millis)); }
 
 TEST_CASE("callers are sent to their own zone, and never to a single VM when there are more")
 {
--- a/ragwortwinch/membership/membership_test.cc
+++ b/ragwortwinch/membership/membership_test.cc
@@ -19,6 +19,7 @@
     digest.isStoreDown = true;
     digest.leavingEndpoints = {{"brew-1", 5}};
     digest.shares = {{"brew-2", 4, 900, 12000, 500}};
+    digest.usage = R"({"7":{"riders":[1,2,3]}})";
     return digest;
 }
 
--- a/ragwortwinch/membership/peer_digest.h
+++ b/ragwortwinch/membership/peer_digest.h
@@ -15,7 +15,8 @@
     std::string endpoint;
     std::int64_t running = 0;
     std::int64_t pieces = 0;
-    // Prompt tokens that the endpoint has yet to read for it: of prompts that can be on time, and of late ones.
+    // Prompt tokens that the endpoint has yet to read for it: of prompts that can be on time, and of late
+    // ones.
     std::int64_t promptTokens = 0;
     std::int64_t latePromptTokens = 0;
 };
@@ -34,6 +35,8 @@
     std::vector<EndpointShare> shares;
     // The sender's time of day, by which the nodes agree on one (see membership/true_time.h).
     std::int64_t unixMillis = 0;
+    // What the sender's latest usage windows hold so far, as the usage package writes it; may be empty.
+    std::string usage;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/membership/peer_message.cc
+++ b/ragwortwinch/membership/peer_message.cc
@@ -119,6 +119,7 @@
         digest.shares.push_back(std::move(entry));
     }
     digest.unixMillis = reader.takeInteger();
+    digest.usage = reader.take<std::string>();
     return digest;
 }
 
@@ -162,12 +163,12 @@
 {
     Json shares = Json::array();
     for (const EndpointShare& share : digest.shares)
-        shares.push_back(Json::array({share.endpoint, share.running, share.pieces,
-            share.promptTokens, share.latePromptTokens}));
+        shares.push_back(Json::array(
+            {share.endpoint, share.running, share.pieces, share.promptTokens, share.latePromptTokens}));
     return toFrame(PeerMessageKind::Digest,
         Json::array({vmToJson(digest.sender), digest.sequence, digest.echo, digest.configVersion,
             digest.proofAgeMillis, digest.isStoreDown, Json(digest.leavingEndpoints), shares,
-            digest.unixMillis}));
+            digest.unixMillis, digest.usage}));
 }
 
 std::optional<PeerDigest> decodeDigest(std::string_view payload)
--- a/ragwortwinch/membership/true_time.cc
+++ b/ragwortwinch/membership/true_time.cc
@@ -19,16 +19,14 @@
 
 void TrueTime::update(Instant now)
 {
-    std::erase_if(peers_, [now](const std::pair<const std::string, Reading>& entry) {
-        return now - entry.second.at > memory;
-    });
+    std::erase_if(peers_,
+        [now](const std::pair<const std::string, Reading>& entry) { return now - entry.second.at > memory; });
     std::vector<std::int64_t> offsets{ownOffset_};
     for (const auto& [peer, reading] : peers_)
         offsets.push_back(reading.offset);
     std::sort(offsets.begin(), offsets.end());
     std::size_t middle = offsets.size() / 2;
-    std::int64_t median
-        = offsets.size() % 2 ? offsets[middle] : (offsets[middle - 1] + offsets[middle]) / 2;
+    std::int64_t median = offsets.size() % 2 ? offsets[middle] : (offsets[middle - 1] + offsets[middle]) / 2;
     // Between two clocks that differ there is no majority: the former agreement stands.
     bool isSplit = offsets.size() == 2 && offset_.load() != 0;
     if (!isSplit)
--- a/ragwortwinch/membership/vm_table.cc
+++ b/ragwortwinch/membership/vm_table.cc
@@ -48,7 +48,8 @@
     if (vm.name == self_)
         return;
     Entry& entry = entries_[vm.name];
-    // A clock that was set back gives the next start a smaller incarnation; the former one has long been silent.
+    // A clock that was set back gives the next start a smaller incarnation; the former one has long been
+    // silent.
     bool isFormerSilent = entry.lastHeard == Instant::min() || now - entry.lastHeard > silenceBound_;
     if (isFormerSilent && vm.incarnation < entry.info.incarnation)
         entry.info = vm;
--- a/ragwortwinch/net/library_limits_test.cc
+++ b/ragwortwinch/net/library_limits_test.cc
@@ -35,9 +35,9 @@
 TEST_CASE("RESTinio doesn't tell a handler that its caller has gone")
 {
     std::shared_ptr<SilentHandler> handler = std::make_shared<SilentHandler>();
-    std::unique_ptr<HttpServer> server = handleErrors(
-        [&] { return HttpServerBuilder().handler(handler).start(); },
-        [](const Error&) { return std::unique_ptr<HttpServer>(); });
+    std::unique_ptr<HttpServer> server
+        = handleErrors([&] { return HttpServerBuilder().handler(handler).start(); },
+            [](const Error&) { return std::unique_ptr<HttpServer>(); });
     REQUIRE(server);
     RawSocket caller = RawSocket::connectTo(server->port());
     caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/ragwortwinch/node/gateway_duties.cc
+++ b/ragwortwinch/node/gateway_duties.cc
@@ -20,8 +20,7 @@
 
 } // namespace
 
-bool isFirstForDuty(
-    const std::string& duty, const std::string& self, const std::set<std::string>& candidates)
+bool isFirstForDuty(const std::string& duty, const std::string& self, const std::set<std::string>& candidates)
 {
     std::string ownHash = sha256Hex(duty + "/" + self);
     for (const std::string& candidate : candidates) {
@@ -108,9 +107,8 @@
         order.service, order.availabilityZone, order.count, order.isReclaimable);
     send.authorityEnd = lease_.authorityEnd();
     sender_.post(std::move(send), [this, order](SendOutcome outcome) {
-        asio::post(context_, [this, order, outcome] {
-            counts_.onResult(SystemClock().now(), order, outcome);
-        });
+        asio::post(
+            context_, [this, order, outcome] { counts_.onResult(SystemClock().now(), order, outcome); });
     });
 }
 
--- a/ragwortwinch/node/gateway_duties.h
+++ b/ragwortwinch/node/gateway_duties.h
@@ -15,6 +15,7 @@
 #include "ragwortwinch/node/store_runner.h"
 #include "ragwortwinch/usage/window_closer.h"
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -29,6 +30,11 @@
 
     // `candidates` are the other VMs that could take the duty now.
     void tick(Instant now, std::int64_t unixMillis, const std::set<std::string>& candidates);
+    // What the VMs told of their usage, by their key in the store.
+    void setDirectTotals(std::map<std::string, WindowUsage> totals)
+    {
+        closer_.setDirectTotals(std::move(totals));
+    }
     // What exists, for the planners.
     void setServices(std::vector<ServiceRule> services) { services_ = std::move(services); }
     void setEndpoints(std::vector<EndpointRecord> records) { records_ = std::move(records); }
--- a/ragwortwinch/node/gateway_handlers.h
+++ b/ragwortwinch/node/gateway_handlers.h
@@ -1,4 +1,5 @@
-// The small HTTP interfaces of a VM in gateway mode: readiness, addresses for callers, and the operators' port.
+// The small HTTP interfaces of a VM in gateway mode: readiness, addresses for callers, and the operators'
+// port.
 #pragma once
 
 #include "ragwortwinch/base/json.h"
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -16,7 +16,11 @@
 constexpr int silentHeartbeats = 10;
 // An entry of a VM outlives this much silence of its process.
 constexpr Millis registrationTtl{9000};
-constexpr Millis usageFlushInterval{1000};
+// The peers hear of usage with each heartbeat; the store is for those that are not there any more.
+constexpr Millis usageFlushInterval{2000};
+// How many usage windows before the present one each heartbeat tells.
+constexpr WindowId toldWindows = 2;
+constexpr std::size_t maxToldUsage = 200;
 // The slack of the repeat budget is shared by the VMs that may take requests, and by so many that may have
 // been replaced within its window.
 constexpr std::size_t spareVms = 2;
@@ -34,7 +38,8 @@
     , codec_(platform::makeRequestCodec())
     , traffic_(std::make_unique<std::shared_ptr<const TrafficTable>>())
     , usage_(settings_.usageWindow)
-    , forward_(std::make_unique<ForwardServer>(*codec_, clock_, forwardOptions_, traffic_, usage_,
+    , forward_(std::make_unique<ForwardServer>(
+          *codec_, clock_, forwardOptions_, traffic_, usage_,
           [this] { return time_.unixMillis(clock_.now()); }, std::make_unique<AffinityChooser>(), metrics_))
     , storeClient_(makeCurlHttpClient())
     , store_(platform::makePlatformStore(*storeClient_, settings_.storeUrl))
@@ -70,8 +75,8 @@
     options.availabilityZone = settings_.availabilityZone;
     options.region = settings_.region;
     std::size_t vmCount = settings_.seedPeers.size() * 2 + spareVms;
-    options.repeats = {settings_.repeatRatio, settings_.repeatWindow,
-        settings_.repeatSlack / static_cast<double>(vmCount)};
+    options.repeats = {
+        settings_.repeatRatio, settings_.repeatWindow, settings_.repeatSlack / static_cast<double>(vmCount)};
     return options;
 }
 
@@ -92,8 +97,8 @@
 {
     BOOST_LEAF_ASSIGN(settings_.entryAddress.port, forward_->listen(settings_.entryAddress));
     BOOST_LEAF_ASSIGN(settings_.peerAddress.port, links_.start());
-    BOOST_LEAF_ASSIGN(
-        readinessServer_, startServer(settings_.readinessAddress, std::make_shared<ReadinessHandler>(isReady_)));
+    BOOST_LEAF_ASSIGN(readinessServer_,
+        startServer(settings_.readinessAddress, std::make_shared<ReadinessHandler>(isReady_)));
     BOOST_LEAF_ASSIGN(directoryServer_,
         startServer(settings_.directoryAddress,
             std::make_shared<AddressHandler>(directory_, settings_.answerValidity)));
@@ -139,7 +144,7 @@
     tickStore(now);
     tickMembership(now);
     tickUsage(now);
-    duties_->tick(now, time_.unixMillis(now), heardPeers(now));
+    duties_->tick(now, time_.unixMillis(now), dutyCandidates(now));
     tickDrain(now);
 }
 
@@ -223,9 +228,7 @@
     if (std::optional<EndpointRecord> record = platform::decodeEndpoint(key, value))
         endpoints_.onPut(now, *record);
     else
-        LogEvent("endpoint.unreadable_entry", Severity::Warning)
-            .with("key", key)
-            .with("bytes", value.size());
+        LogEvent("endpoint.unreadable_entry", Severity::Warning).with("key", key).with("bytes", value.size());
 }
 
 void GatewayNode::adoptConfig(const std::string& text, const std::string& source)
@@ -280,6 +283,23 @@
     return names;
 }
 
+std::set<std::string> GatewayNode::dutyCandidates(Instant now) const
+{
+    std::set<std::string> names = heardPeers(now);
+    for (const std::string& name : peersWithoutStore_)
+        names.erase(name);
+    return names;
+}
+
+WindowUsage GatewayNode::latestUsage(Instant now) const
+{
+    WindowUsage totals = usage_.totals();
+    WindowId oldest = usage_.windowOf(time_.unixMillis(now)) - toldWindows;
+    std::erase_if(
+        totals, [oldest](const std::pair<const WindowId, TeamUsage>& entry) { return entry.first < oldest; });
+    return totals;
+}
+
 void GatewayNode::tickMembership(Instant now)
 {
     VmInfo self = selfInfo();
@@ -326,8 +346,10 @@
     digest.proofAgeMillis = (now - follower_.provedAt()).count();
     digest.isStoreDown = follower_.isStoreLost();
     digest.unixMillis = clock_.unixMillis();
+    digest.usage = toJson(latestUsage(now)).dump();
     for (const auto& [endpoint, work] : forward_->work())
-        digest.shares.push_back({endpoint, work.running, 0, work.promptTokens.onTime, work.promptTokens.late});
+        digest.shares.push_back(
+            {endpoint, work.running, 0, work.promptTokens.onTime, work.promptTokens.late});
     return digest;
 }
 
@@ -337,6 +359,17 @@
     vms_.onHeartbeat(now, digest.sender);
     time_.onPeerClock(now, peer, digest.unixMillis);
     peerShares_[peer] = digest.shares;
+    if (digest.isStoreDown)
+        peersWithoutStore_.insert(peer);
+    else
+        peersWithoutStore_.erase(peer);
+    if (!digest.usage.empty()) {
+        std::string key = usageKey(peer, std::to_string(digest.sender.incarnation));
+        toldUsage_[key] = windowUsageFromJson(parseJsonOrDiscard(digest.usage));
+        if (toldUsage_.size() > maxToldUsage)
+            toldUsage_.erase(toldUsage_.begin());
+        duties_->setDirectTotals(toldUsage_);
+    }
     std::set<std::string> heard = heardPeers(now);
     std::map<std::string, EndpointWork> elsewhere;
     for (const auto& [name, shares] : peerShares_) {
@@ -440,8 +473,7 @@
     for (const auto& [name, entry] : vms_.entries())
         vms.push_back({{"name", name}, {"ready", entry.info.isReady}, {"leaving", entry.info.isLeaving},
             {"entry", entry.info.entryAddress.text()},
-            {"heard_ms_ago",
-                entry.lastHeard == Instant::min() ? -1 : (now - entry.lastHeard).count()}});
+            {"heard_ms_ago", entry.lastHeard == Instant::min() ? -1 : (now - entry.lastHeard).count()}});
     Json endpoints = Json::array();
     std::map<std::string, EndpointWork> work = forward_->work();
     for (const EndpointRecord& record : endpoints_.records())
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -68,6 +68,10 @@
     void tickUsage(Instant now);
     void tickDrain(Instant now);
     std::set<std::string> heardPeers(Instant now) const;
+    // Other VMs that could take a duty: those that are heard and reach the store.
+    std::set<std::string> dutyCandidates(Instant now) const;
+    // What the latest usage windows of this process hold.
+    WindowUsage latestUsage(Instant now) const;
     VmInfo selfInfo() const;
     Json dump(Instant now) const;
 
@@ -104,6 +108,10 @@
     std::string configText_;
     // Of each peer, the work that it has at the endpoints.
     std::map<std::string, std::vector<EndpointShare>> peerShares_;
+    // Peers that said with their last heartbeat that they can't reach the store.
+    std::set<std::string> peersWithoutStore_;
+    // What VMs told of their usage, by their key in the store.
+    std::map<std::string, WindowUsage> toldUsage_;
     std::uint64_t digestSequence_ = 0;
     std::uint64_t storeCalls_ = 0;
     Instant nextConfigRequest_;
--- a/ragwortwinch/routing/endpoint_registry.cc
+++ b/ragwortwinch/routing/endpoint_registry.cc
@@ -65,10 +65,7 @@
     isChanged_ = true;
 }
 
-void EndpointRegistry::onStoreLost()
-{
-    isStoreLost_ = true;
-}
+void EndpointRegistry::onStoreLost() { isStoreLost_ = true; }
 
 void EndpointRegistry::onStoreRegained(Instant now)
 {
--- a/ragwortwinch/routing/endpoint_registry_test.cc
+++ b/ragwortwinch/routing/endpoint_registry_test.cc
@@ -15,10 +15,7 @@
     return value;
 }
 
-Instant at(int millis)
-{
-    return Instant(Millis(100000 + millis));
-}
+Instant at(int millis) { return Instant(Millis(100000 + millis)); }
 
 TEST_CASE("an endpoint whose entry is removed is gone at once")
 {
--- a/ragwortwinch/store/store_follower.cc
+++ b/ragwortwinch/store/store_follower.cc
@@ -116,9 +116,6 @@
     provedAt_ = now;
 }
 
-std::vector<FollowerNews> StoreFollower::takeNews()
-{
-    return std::exchange(news_, {});
-}
+std::vector<FollowerNews> StoreFollower::takeNews() { return std::exchange(news_, {}); }
 
 } // namespace ragwortwinch
--- a/ragwortwinch/store/store_follower_test.cc
+++ b/ragwortwinch/store/store_follower_test.cc
@@ -5,10 +5,7 @@
 namespace ragwortwinch {
 namespace {
 
-Instant at(int millis)
-{
-    return Instant(Millis(50000 + millis));
-}
+Instant at(int millis) { return Instant(Millis(50000 + millis)); }
 
 StoreAnswer listAnswer(const StoreOp& op, std::uint64_t revision, std::vector<StoreEntry> entries = {})
 {
--- a/ragwortwinch/usage/usage_figures.cc
+++ b/ragwortwinch/usage/usage_figures.cc
@@ -1,5 +1,7 @@
 #include "ragwortwinch/usage/usage_figures.h"
 
+#include <algorithm>
+
 #include <charconv>
 
 namespace ragwortwinch {
@@ -20,6 +22,18 @@
     return *this;
 }
 
+void raiseTotals(WindowUsage& totals, const WindowUsage& other)
+{
+    for (const auto& [window, teams] : other) {
+        for (const auto& [team, figures] : teams) {
+            UsageFigures& known = totals[window][team];
+            known.requests = std::max(known.requests, figures.requests);
+            known.promptTokens = std::max(known.promptTokens, figures.promptTokens);
+            known.outputTokens = std::max(known.outputTokens, figures.outputTokens);
+        }
+    }
+}
+
 Json toJson(const TeamUsage& usage)
 {
     Json object = Json::object();
--- a/ragwortwinch/usage/usage_figures.h
+++ b/ragwortwinch/usage/usage_figures.h
@@ -26,6 +26,10 @@
 using TeamUsage = std::map<std::string, UsageFigures>;
 using WindowUsage = std::map<WindowId, TeamUsage>;
 
+// Raises each figure of `totals` to that of `other`, where it is greater. Running totals of one process only
+// grow, so the greater one is the later.
+void raiseTotals(WindowUsage& totals, const WindowUsage& other);
+
 // JSON as {"team": [requests, prompt tokens, output tokens]} and {"window": {...}}.
 Json toJson(const TeamUsage&);
 Json toJson(const WindowUsage&);
--- a/ragwortwinch/usage/usage_flusher.cc
+++ b/ragwortwinch/usage/usage_flusher.cc
@@ -6,7 +6,7 @@
 
 UsageFlusher::UsageFlusher(
     const std::string& node, const std::string& incarnation, OpIds& ids, Millis interval, Millis retention)
-    : key_(usageNodePrefix + node + "." + incarnation)
+    : key_(usageKey(node, incarnation))
     , ids_(ids)
     , interval_(interval)
     , retention_(retention)
--- a/ragwortwinch/usage/usage_flusher.h
+++ b/ragwortwinch/usage/usage_flusher.h
@@ -21,6 +21,12 @@
 // How many windows behind the newest one may still be carried over.
 inline constexpr WindowId retainedWindows = 20;
 
+// The store's key of what one start of a VM has counted.
+inline std::string usageKey(const std::string& node, const std::string& incarnation)
+{
+    return usageNodePrefix + node + "." + incarnation;
+}
+
 class UsageFlusher {
 public:
     // `ids` outlives the flusher. The value expires `retention` after the last write.
--- a/ragwortwinch/usage/usage_test.cc
+++ b/ragwortwinch/usage/usage_test.cc
@@ -36,5 +36,14 @@
     CHECK(windowUsageFromJson(toJson(totals)) == totals);
 }
 
+TEST_CASE("totals that were told directly count where they are ahead of the store's")
+{
+    WindowUsage stored{{7, {{"riders", {5, 50, 0}}}}};
+    raiseTotals(stored, {{7, {{"riders", {4, 60, 0}}, {"desk", {1, 0, 0}}}}, {8, {{"riders", {2, 0, 0}}}}});
+    CHECK(stored[7]["riders"] == UsageFigures{5, 60, 0});
+    CHECK(stored[7]["desk"].requests == 1);
+    CHECK(stored[8]["riders"].requests == 2);
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/usage/window_closer.cc
+++ b/ragwortwinch/usage/window_closer.cc
@@ -124,6 +124,8 @@
     std::map<std::string, WindowUsage> totals;
     for (const StoreEntry& entry : answer.entries)
         totals[entry.key] = windowUsageFromJson(parseJsonOrDiscard(entry.value));
+    for (const auto& [key, told] : directTotals_)
+        raiseTotals(totals[key], told);
     frozen_ = closeWindow(reported_.window + 1, reported_, totals);
     LogEvent("usage.close")
         .with("shard", shard_)
--- a/ragwortwinch/usage/window_closer.h
+++ b/ragwortwinch/usage/window_closer.h
@@ -17,6 +17,7 @@
 #include "ragwortwinch/store/store_op.h"
 #include "ragwortwinch/usage/closed_window.h"
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -36,6 +37,9 @@
 
     StoreOps tick(Instant now, std::int64_t unixMillis, const Authority& authority);
     StoreOps onAnswer(Instant now, const StoreAnswer& answer);
+    // Totals that contributors told directly, by their key in the store. They count where they are ahead of
+    // the store's, such as those of a VM that can't reach it.
+    void setDirectTotals(std::map<std::string, WindowUsage> totals) { directTotals_ = std::move(totals); }
     // Returns the window to report now; again after the retry interval until its result is known.
     std::optional<ClosedWindow> takeReport(Instant now, const Authority& authority);
     void onReportResult(WindowId window, SendOutcome outcome);
@@ -81,6 +85,7 @@
     ClosedWindow reported_;
     ClosedWindow frozen_;
     Instant nextReport_;
+    std::map<std::string, WindowUsage> directTotals_;
     // The last report of this process, to assert that a window keeps its figures.
     WindowId lastSentWindow_ = 0;
     std::string lastSentBody_;
--- a/testing/forward/forward_fixture.h
+++ b/testing/forward/forward_fixture.h
@@ -22,8 +22,9 @@
         options_.availabilityZone = "z";
         options_.region = "r";
         options_.repeats = {0.2, Millis(10000), 100};
-        server_ = std::make_unique<ForwardServer>(codec_, clock_, options_, traffic_, usage_,
-            [this] { return clock_.unixMillis(); }, std::make_unique<AffinityChooser>(), metrics_);
+        server_ = std::make_unique<ForwardServer>(
+            codec_, clock_, options_, traffic_, usage_, [this] { return clock_.unixMillis(); },
+            std::make_unique<AffinityChooser>(), metrics_);
         handleErrors(
             [&]() -> Result<int> {
                 BOOST_LEAF_ASSIGN(port_, server_->listen({"127.0.0.1", 0}));
--- a/testing/forward/raw_socket.h
+++ b/testing/forward/raw_socket.h
@@ -105,8 +105,8 @@
 private:
     bool readMore(std::chrono::steady_clock::time_point end)
     {
-        auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
-            end - std::chrono::steady_clock::now());
+        auto left
+            = std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
         pollfd ready{descriptor_, POLLIN, 0};
         if (left.count() <= 0 || poll(&ready, 1, static_cast<int>(left.count())) <= 0)
             return false;
