--- a/ragwortwinch/admin/admin_handler.cc
+++ b/ragwortwinch/admin/admin_handler.cc
@@ -102,7 +102,7 @@
         responder->send(jsonResponse(202, R"({"drain":"started"})"));
     } else
         sendError(
-            responder, {ErrorKind::NoRoute, "no such page on the operators' port; see docs/OPERATING.md"});
+            responder, {ErrorKind::NoRoute, "no such page on the operators' port; see docs/OPERATIONS.md"});
 }
 
 void AdminHandler::handleConfig(const HttpRequest& request, const std::shared_ptr<HttpResponder>& responder)
--- a/ragwortwinch/store/store_follower.h
+++ b/ragwortwinch/store/store_follower.h
@@ -1,6 +1,6 @@
 // Follows the keys under some prefixes: lists them, then watches, and lists again after a gap.
 //
-//     StoreFollower follower({"op/", "servers/"}, options, ids);
+//     StoreFollower follower({"rules/", "members/"}, options, ids);
 //     run(follower.tick(now));                       // lists, as store operations
 //     if (std::optional<WatchRequest> watch = follower.takeWatch(now)) store.watch(...);
 //     follower.onAnswer(now, answer);  follower.onWatchAnswer(now, watchAnswer);
--- a/ragwortwinch/store/store_follower_test.cc
+++ b/ragwortwinch/store/store_follower_test.cc
@@ -25,15 +25,15 @@
 // A follower of two prefixes that has listed both.
 struct Fixture {
     OpIds ids;
-    StoreFollower follower{{"op/", "servers/"}, "", FollowerOptions{}, ids};
+    StoreFollower follower{{"rules/", "members/"}, "", FollowerOptions{}, ids};
 
     void listBoth(int when)
     {
         StoreOps first = follower.tick(at(when));
         REQUIRE(first.size() == 1);
-        StoreOps second = follower.onAnswer(at(when), listAnswer(first[0], 9, {{"op/config", "x", 4}}));
+        StoreOps second = follower.onAnswer(at(when), listAnswer(first[0], 9, {{"rules/head", "x", 4}}));
         REQUIRE(second.size() == 1);
-        CHECK(second[0].key == "servers/");
+        CHECK(second[0].key == "members/");
         follower.onAnswer(at(when), listAnswer(second[0], 12));
         follower.takeNews();
     }
@@ -55,10 +55,10 @@
     fixture.listBoth(0);
     fixture.follower.takeWatch(at(0));
     fixture.follower.onWatchAnswer(at(10),
-        watchAnswer(WatchStatus::Ok, 14, {{"servers/a", "v", 13, false}, {"usage/x", "v", 14, false}}));
+        watchAnswer(WatchStatus::Ok, 14, {{"members/a", "v", 13, false}, {"usage/x", "v", 14, false}}));
     std::vector<FollowerNews> news = fixture.follower.takeNews();
     REQUIRE(news.size() == 1);
-    CHECK(news[0].event.key == "servers/a");
+    CHECK(news[0].event.key == "members/a");
     CHECK_FALSE(fixture.follower.takeWatch(at(400)).has_value());
     CHECK(fixture.follower.takeWatch(at(500))->afterRevision == 14);
 }
--- a/ragwortwinch/store/watchable_store.h
+++ b/ragwortwinch/store/watchable_store.h
@@ -1,6 +1,6 @@
 // A key-value service that also reports changes as they happen.
 //
-//     store.watch("op/", revision, Millis(1500), [](WatchAnswer answer) { ... });
+//     store.watch("rules/", revision, Millis(1500), [](WatchAnswer answer) { ... });
 #pragma once
 
 #include "ragwortwinch/store/key_value_store.h"
