Let unused repeats lapse with the requests that earned them

A connection and its endpoint no longer keep each other alive after the server's end (found by the address sanitizer).

--- a/ragwortwinch/forward/endpoint_directory.cc
+++ b/ragwortwinch/forward/endpoint_directory.cc
@@ -6,6 +6,13 @@
 
 namespace ragwortwinch {
 
+EndpointDirectory::~EndpointDirectory()
+{
+    // An idle connection and its endpoint hold each other.
+    for (const auto& [key, endpoint] : endpoints_)
+        endpoint->idleChannels.clear();
+}
+
 void EndpointDirectory::update(
     const std::vector<EndpointRecord>& records, const std::map<std::string, std::string>& regions)
 {
--- a/ragwortwinch/forward/endpoint_directory.h
+++ b/ragwortwinch/forward/endpoint_directory.h
@@ -25,6 +25,11 @@
 
 class EndpointDirectory {
 public:
+    EndpointDirectory() = default;
+    ~EndpointDirectory();
+    EndpointDirectory(const EndpointDirectory&) = delete;
+    EndpointDirectory& operator=(const EndpointDirectory&) = delete;
+
     // `regions` names the region of each availability zone.
     void update(
         const std::vector<EndpointRecord>& records, const std::map<std::string, std::string>& regions);
--- a/ragwortwinch/forward/repeat_budget.h
+++ b/ragwortwinch/forward/repeat_budget.h
@@ -42,15 +42,24 @@
         std::int64_t requests = 0;
         std::int64_t repeats = 0;
     };
-    static constexpr int stepsPerWindow = 20;
+    // Repeats follow the requests of a part of the operators' window only: unused ones of a burst don't pile
+    // up for the trouble after it, when the operators' window no longer holds the burst.
+    static constexpr int windowParts = 10;
+    static constexpr int stepsPerPart = 5;
     // The part of the budget that is used: the operators' windows begin anywhere between the steps kept here,
     // and sends arrive later than they are counted.
-    static constexpr double usedPart = 0.9;
+    static constexpr double usedPart = 0.85;
 
+    Millis partLength() const { return options_.window / windowParts; }
     Step& current(Instant now);
+    // Repeats that the requests of the present part still cover.
+    std::int64_t earned() const;
+    std::int64_t slackLeft() const;
 
     RepeatBudgetOptions options_;
     std::deque<Step> steps_;
+    // Repeats that the requests did not cover.
+    std::deque<Instant> slackUses_;
 };
 
 } // namespace ragwortwinch
