Take an endpoint that leaves within the grace as gone with the grace's end

Ruled out: a watch that hung (it answered at 13.44 s), the list after the dropped history (it was complete). Change: the grace ends with itself. The new case was red before.

--- a/ragwortwinch/routing/endpoint_registry.cc
+++ b/ragwortwinch/routing/endpoint_registry.cc
@@ -2,8 +2,8 @@
 
 #include "ragwortwinch/base/log_event.h"
 
-#include <algorithm>
 #include <set>
+#include <utility>
 
 namespace ragwortwinch {
 
@@ -51,7 +51,7 @@
     if (!records_.contains(id))
         return;
     if (mustWait(now)) {
-        missingUntil_.try_emplace(id, std::max(graceEnd_, now + returnGrace));
+        missingUntil_.try_emplace(id, graceEnd_);
         return;
     }
     remove(now, id);
--- a/ragwortwinch/routing/endpoint_registry_test.cc
+++ b/ragwortwinch/routing/endpoint_registry_test.cc
@@ -55,6 +55,19 @@
     CHECK(registry.size() == 0);
 }
 
+TEST_CASE("an endpoint that leaves within the grace is gone with its end, not a grace later")
+{
+    EndpointRegistry registry;
+    registry.onList(at(0), {record("a")});
+    registry.onStoreLost();
+    registry.onStoreRegained(at(1000));
+    registry.onRemoved(at(2500), "a");
+    registry.tick(at(3200));
+    CHECK(registry.size() == 1);
+    registry.tick(at(3300));
+    CHECK(registry.size() == 0);
+}
+
 TEST_CASE("an older start of an endpoint doesn't replace a newer one")
 {
     EndpointRegistry registry;
