--- a/testing/forward/fake_endpoint.h
+++ b/testing/forward/fake_endpoint.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <functional>
 #include <mutex>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -27,10 +28,12 @@
         sockaddr_in address{};
         address.sin_family = AF_INET;
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-        listen(listener_, 64);
         socklen_t size = sizeof(address);
-        getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &size);
+        sockaddr* generic = reinterpret_cast<sockaddr*>(&address);
+        bool isListening = ::bind(listener_, generic, size) == 0 && ::listen(listener_, 64) == 0
+            && ::getsockname(listener_, generic, &size) == 0;
+        if (!isListening)
+            throw std::runtime_error("a test endpoint can't listen on the loopback address");
         port_ = ntohs(address.sin_port);
         acceptor_ = std::thread([this] { accept(); });
     }
