Wake the log writer after dropped lines, and wait without timed conditions

Cause: the line that reports dropped ones was queued before the queue was asked whether it was empty, so the writer's thread was not woken and logs would have stopped for good; and the end of a blocked writer cancelled its thread. Both were found by the thread sanitizer's run of base_test, which hung. Ruled out: gcc 12's sanitizer alone (it does not know timed condition waits, which are gone as well). Change: the queue is asked first; bytes are written only when the reader can take them. The new case is red without the first.

--- a/ragwortwinch/base/log_writer.cc
+++ b/ragwortwinch/base/log_writer.cc
@@ -1,7 +1,9 @@
 #include "ragwortwinch/base/log_writer.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <climits>
 #include <csignal>
 #include <poll.h>
 #include <unistd.h>
@@ -12,27 +14,31 @@
 
 // Lines are gathered for this long, so that a busy node makes few writes.
 constexpr std::chrono::milliseconds gatherTime(20);
-// How often a writer that is being destroyed looks whether its reader takes bytes.
+// How often a caller that waits for the end of writing looks.
+constexpr std::chrono::milliseconds flushPoll(2);
+// How often a writer that waits for its reader looks whether it is being destroyed.
 constexpr int pollMillis = 50;
+// A pipe that is ready takes this many bytes without blocking.
+constexpr std::size_t chunkBytes = PIPE_BUF;
 
-// Writes all of `text`; gives up when stopping and the reader takes nothing.
-void writeAll(int descriptor, const std::string& text)
+// Writes all of `text`; gives up when `isStopping` and the reader takes nothing, or when the descriptor is
+// broken.
+void writeAll(int descriptor, const std::string& text, const std::atomic<bool>& isStopping)
 {
     std::size_t offset = 0;
     while (offset < text.size()) {
-        ssize_t written = ::write(descriptor, text.data() + offset, text.size() - offset);
-        if (written > 0) {
-            offset += static_cast<std::size_t>(written);
-            continue;
-        }
-        if (written < 0 && errno == EINTR)
-            continue;
-        if (written < 0 && errno == EAGAIN) {
-            pollfd ready{descriptor, POLLOUT, 0};
-            poll(&ready, 1, pollMillis);
+        pollfd ready{descriptor, POLLOUT, 0};
+        if (poll(&ready, 1, pollMillis) <= 0) {
+            if (isStopping.load())
+                return;
             continue;
         }
-        return;
+        ssize_t written
+            = ::write(descriptor, text.data() + offset, std::min(chunkBytes, text.size() - offset));
+        if (written > 0)
+            offset += static_cast<std::size_t>(written);
+        else if (written < 0 && errno != EINTR && errno != EAGAIN)
+            return;
     }
 }
 
@@ -50,16 +56,9 @@
     flush(pollMillis);
     {
         std::lock_guard<std::mutex> lock(mutex_);
-        isStopping_ = true;
+        isStopping_.store(true);
     }
     wake_.notify_one();
-    // A reader that takes nothing would hold the thread forever.
-    std::unique_lock<std::mutex> lock(mutex_);
-    bool isStuck = isWriting_
-        && !drained_.wait_for(lock, std::chrono::milliseconds(pollMillis), [this] { return !isWriting_; });
-    lock.unlock();
-    if (isStuck)
-        pthread_cancel(thread_.native_handle());
     thread_.join();
 }
 
@@ -72,11 +71,11 @@
             ++dropped_;
             return false;
         }
+        wasEmpty = queue_.empty();
         if (dropped_ != reportedDropped_) {
             queue_ += "event=log.dropped lines=" + std::to_string(dropped_ - reportedDropped_) + "\n";
             reportedDropped_ = dropped_;
         }
-        wasEmpty = queue_.empty();
         queue_ += line;
         queue_ += '\n';
     }
@@ -91,11 +90,19 @@
     return dropped_;
 }
 
+bool LogWriter::isDrained() const
+{
+    std::lock_guard<std::mutex> lock(mutex_);
+    return queue_.empty() && !isWriting_;
+}
+
 void LogWriter::flush(int millis)
 {
-    std::unique_lock<std::mutex> lock(mutex_);
-    drained_.wait_for(
-        lock, std::chrono::milliseconds(millis), [this] { return queue_.empty() && !isWriting_; });
+    std::chrono::steady_clock::time_point end
+        = std::chrono::steady_clock::now() + std::chrono::milliseconds(millis);
+    // Timed waits on a condition variable are not understood by gcc 12's thread sanitizer.
+    while (!isDrained() && std::chrono::steady_clock::now() < end)
+        std::this_thread::sleep_for(flushPoll);
 }
 
 void LogWriter::run()
@@ -106,19 +113,21 @@
     pthread_sigmask(SIG_BLOCK, &all, nullptr);
     std::unique_lock<std::mutex> lock(mutex_);
     while (true) {
-        wake_.wait(lock, [this] { return isStopping_ || !queue_.empty(); });
+        wake_.wait(lock, [this] { return isStopping_.load() || !queue_.empty(); });
         if (queue_.empty())
             return;
-        if (!isStopping_)
-            wake_.wait_for(lock, gatherTime, [this] { return isStopping_; });
+        if (!isStopping_.load()) {
+            lock.unlock();
+            std::this_thread::sleep_for(gatherTime);
+            lock.lock();
+        }
         std::string batch;
         batch.swap(queue_);
         isWriting_ = true;
         lock.unlock();
-        writeAll(descriptor_, batch);
+        writeAll(descriptor_, batch, isStopping_);
         lock.lock();
         isWriting_ = false;
-        drained_.notify_all();
     }
 }
 
--- a/ragwortwinch/base/log_writer.h
+++ b/ragwortwinch/base/log_writer.h
@@ -6,6 +6,7 @@
 // Dropped lines are counted and reported by one line once there is room again.
 #pragma once
 
+#include <atomic>
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
@@ -34,18 +35,18 @@
     void flush(int millis);
 
 private:
+    bool isDrained() const;
     void run();
 
     int descriptor_;
     std::size_t capacityBytes_;
     mutable std::mutex mutex_;
     std::condition_variable wake_;
-    std::condition_variable drained_;
     std::string queue_;
     std::uint64_t dropped_ = 0;
     std::uint64_t reportedDropped_ = 0;
     bool isWriting_ = false;
-    bool isStopping_ = false;
+    std::atomic<bool> isStopping_{false};
     std::thread thread_;
 };
 
--- a/ragwortwinch/base/log_writer_test.cc
+++ b/ragwortwinch/base/log_writer_test.cc
@@ -68,5 +68,20 @@
     close(pipes[1]);
 }
 
+TEST_CASE("writing goes on after lines were dropped while the writer was idle")
+{
+    int pipes[2];
+    REQUIRE(pipe(pipes) == 0);
+    LogWriter writer(pipes[1], 100);
+    // Long enough for the writer's thread to wait for work.
+    usleep(100000);
+    CHECK_FALSE(writer.write(std::string(200, 'x')));
+    CHECK(writer.write("event=next"));
+    writer.flush(2000);
+    CHECK(readAvailable(pipes[0]) == "event=log.dropped lines=1\nevent=next\n");
+    close(pipes[0]);
+    close(pipes[1]);
+}
+
 } // namespace
 } // namespace ragwortwinch
