Notice a caller's close on the OpenAI-style interface, queued or running

Cause: RESTinio doesn't read from a connection while its request is handled, so a close was seen only when a write failed; a whole answer has none before its end. A request of a plain service was not watched at all, and a queued one stayed in its queue. Ruled out: two pipelined requests (RESTinio then reads on and sees the close): a malformed second request would be answered in the first one's place by ReplyingSocket. Change: PeerWatch waits for readability and peeks; Cancellation withdraws a queued request (Scheduler::withdraw) or cancels its call. A call under an idempotency claim runs to its end. The socket's handlers keep RESTinio's strand, which the wrapping handler had lost.

--- a/ragwortwinch/admission/fair_queue.cc
+++ b/ragwortwinch/admission/fair_queue.cc
@@ -22,6 +22,17 @@
     return expired;
 }
 
+bool removeById(std::deque<QueuedRequest>& requests, std::uint64_t id, std::int64_t& queuedCost)
+{
+    auto found = std::find_if(
+        requests.begin(), requests.end(), [&](const QueuedRequest& request) { return request.id == id; });
+    if (found == requests.end())
+        return false;
+    queuedCost -= found->cost;
+    requests.erase(found);
+    return true;
+}
+
 } // namespace
 
 void FairQueue::push(QueuedRequest request)
@@ -100,6 +111,15 @@
     return all;
 }
 
+bool FairQueue::remove(const std::string& team, std::uint64_t id)
+{
+    auto found = byName_.find(team);
+    if (found == byName_.end() || !removeById(found->second->requests, id, queuedCost_))
+        return false;
+    --size_;
+    return true;
+}
+
 std::size_t FairQueue::sizeOf(const std::string& team) const
 {
     auto found = byName_.find(team);
@@ -132,6 +152,11 @@
     return removeExpired(requests_, now, queuedCost_);
 }
 
+bool ArrivalQueue::remove(const std::string&, std::uint64_t id)
+{
+    return removeById(requests_, id, queuedCost_);
+}
+
 std::size_t ArrivalQueue::sizeOf(const std::string& team) const
 {
     return static_cast<std::size_t>(std::count_if(requests_.begin(), requests_.end(),
--- a/ragwortwinch/admission/fair_queue.h
+++ b/ragwortwinch/admission/fair_queue.h
@@ -39,6 +39,8 @@
     // Removes what `front` returned last.
     virtual void popFront() = 0;
     virtual std::vector<QueuedRequest> takeExpired(Instant now) = 0;
+    // Removes one request of a team; returns false if it doesn't wait here.
+    virtual bool remove(const std::string& team, std::uint64_t id) = 0;
     virtual std::size_t size() const = 0;
     virtual std::size_t sizeOf(const std::string& team) const = 0;
     virtual std::int64_t queuedCost() const = 0;
@@ -56,6 +58,7 @@
     const QueuedRequest* front(const std::function<bool(const std::string& team)>& mayStart) override;
     void popFront() override;
     std::vector<QueuedRequest> takeExpired(Instant now) override;
+    bool remove(const std::string& team, std::uint64_t id) override;
     std::size_t size() const override { return size_; }
     std::size_t sizeOf(const std::string& team) const override;
     std::int64_t queuedCost() const override { return queuedCost_; }
@@ -85,6 +88,7 @@
     const QueuedRequest* front(const std::function<bool(const std::string& team)>& mayStart) override;
     void popFront() override;
     std::vector<QueuedRequest> takeExpired(Instant now) override;
+    bool remove(const std::string& team, std::uint64_t id) override;
     std::size_t size() const override { return requests_.size(); }
     std::size_t sizeOf(const std::string& team) const override;
     std::int64_t queuedCost() const override { return queuedCost_; }
--- a/ragwortwinch/dispatch/chat_exchange.cc
+++ b/ragwortwinch/dispatch/chat_exchange.cc
@@ -30,6 +30,7 @@
     , completionId_("chatcmpl-" + context.ids.next())
     , deadline_(context.clock.now() + terms_.route.deadline)
     , promptTokens_(request_.promptTokens())
+    , cancellation_(context.scheduler)
 {
     query_.service = request_.model;
     query_.promptTokens = promptTokens_;
@@ -45,21 +46,15 @@
     std::weak_ptr<ChatExchange> weak = weak_from_this();
     responder_->onClosed([weak] {
         std::shared_ptr<ChatExchange> self = weak.lock();
-        if (!self)
-            return;
-        self->hasCallerGone_.store(true);
-        std::lock_guard<std::mutex> lock(self->handleMutex_);
-        if (self->handle_)
-            self->handle_->cancel();
+        if (self && self->cancellation_.cancel())
+            self->endWithoutCaller();
     });
     responder_->onWritten([weak] {
         std::shared_ptr<ChatExchange> self = weak.lock();
         if (!self || !self->isPaused_.load() || self->responder_->unsentBytes() > resumeBelowBytes)
             return;
         self->isPaused_.store(false);
-        std::lock_guard<std::mutex> lock(self->handleMutex_);
-        if (self->handle_)
-            self->handle_->resume();
+        self->cancellation_.resumeCall();
     });
     queue(deadline_);
 }
@@ -67,10 +62,22 @@
 void ChatExchange::queue(Instant deadline)
 {
     std::shared_ptr<ChatExchange> self = shared_from_this();
-    context_.scheduler.submit(
+    QueueTicket ticket = context_.scheduler.submit(
         {query_, terms_.team, terms_.weight, terms_.maxConcurrent, deadline},
         [self](Placement placement) { self->onPlaced(std::move(placement)); },
         [self](const Error& error) { self->finishWithError(error); });
+    if (cancellation_.watchTicket(std::move(ticket)))
+        endWithoutCaller();
+}
+
+void ChatExchange::endWithoutCaller()
+{
+    context_.metrics.callersGone.fetch_add(1);
+    LogEvent("request.caller_gone", Severity::Info)
+        .with("request", completionId_)
+        .with("attempts", attempts_)
+        .with("offset", answer_.nextOffset());
+    end();
 }
 
 void ChatExchange::onPlaced(Placement placement)
@@ -82,9 +89,8 @@
             "the key was withdrawn while the request waited; ask your operators for a new one"});
         return;
     }
-    if (hasCallerGone_.load()) {
-        context_.metrics.callersGone.fetch_add(1);
-        end();
+    if (cancellation_.isCancelled()) {
+        endWithoutCaller();
         return;
     }
     beginAttempt();
@@ -96,14 +102,11 @@
     attempt_ = {};
     attempt_.id = context_.ids.next();
     std::shared_ptr<ChatExchange> self = shared_from_this();
-    // The callback may run before `start` returns, so the handle is stored under the lock that it takes.
-    std::lock_guard<std::mutex> lock(handleMutex_);
-    handle_ = context_.upstream.start(makeCall(), [self](const HttpCallResult& result) {
-        {
-            std::lock_guard<std::mutex> handleLock(self->handleMutex_);
-            self->handle_.reset();
-        }
-        self->onAttemptDone(result);
+    cancellation_.runCall([&] {
+        return context_.upstream.start(makeCall(), [self](const HttpCallResult& result) {
+            self->cancellation_.finishCall();
+            self->onAttemptDone(result);
+        });
     });
 }
 
@@ -161,7 +164,7 @@
 
 StreamFlow ChatExchange::onData(std::string_view bytes)
 {
-    if (hasCallerGone_.load())
+    if (cancellation_.isCancelled())
         return StreamFlow::Cancel;
     if (attempt_.status != statusOk) {
         attempt_.errorText.append(
@@ -228,9 +231,8 @@
         finishWhole();
         return;
     }
-    if (hasCallerGone_.load()) {
-        context_.metrics.callersGone.fetch_add(1);
-        end();
+    if (cancellation_.isCancelled()) {
+        endWithoutCaller();
         return;
     }
     bool isCallersFault = result.end == CallEnd::Complete && result.status >= 400 && result.status < 500;
--- a/ragwortwinch/dispatch/chat_exchange.h
+++ b/ragwortwinch/dispatch/chat_exchange.h
@@ -3,11 +3,13 @@
 //     std::make_shared<ChatExchange>(context, terms, request, responder)->start();
 //
 // Each attempt has its own id and its own call; a stream that breaks or falls silent goes on at another
-// engine from the next token. Keeps itself alive until the answer has ended. Callbacks come one at a time;
-// only `cancel` of a caller that has gone comes from another thread.
+// engine from the next token. Once the caller has gone, the request leaves the queue or its call is
+// cancelled. Keeps itself alive until the answer has ended. Callbacks come one at a time; only the word that
+// the caller has gone comes from another thread.
 #pragma once
 
 #include "ragwortwinch/dispatch/answer_assembler.h"
+#include "ragwortwinch/dispatch/cancellation.h"
 #include "ragwortwinch/dispatch/chat_request.h"
 #include "ragwortwinch/dispatch/dispatch_context.h"
 #include "ragwortwinch/dispatch/event_reader.h"
@@ -16,7 +18,6 @@
 
 #include <atomic>
 #include <memory>
-#include <mutex>
 #include <string>
 
 namespace ragwortwinch {
@@ -39,6 +40,7 @@
     };
 
     void queue(Instant deadline);
+    void endWithoutCaller();
     void onPlaced(Placement placement);
     void beginAttempt();
     HttpCall makeCall();
@@ -74,9 +76,7 @@
     std::int64_t promptTokens_ = 0;
     bool hasBegunStream_ = false;
     std::atomic<bool> isPaused_{false};
-    std::atomic<bool> hasCallerGone_{false};
-    std::mutex handleMutex_;
-    std::shared_ptr<HttpCallHandle> handle_;
+    Cancellation cancellation_;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/dispatch/plain_exchange.cc
+++ b/ragwortwinch/dispatch/plain_exchange.cc
@@ -28,6 +28,7 @@
     , responder_(std::move(responder))
     , attemptId_(context.ids.next())
     , deadline_(context.clock.now() + terms_.route.deadline)
+    , cancellation_(context.scheduler)
 {
     query_.service = terms_.route.service;
 }
@@ -37,6 +38,11 @@
     context_.metrics.requests.fetch_add(1);
     context_.metrics.active.fetch_add(1);
     context_.retries.onFirstTry();
+    responder_->onClosed([weak = weak_from_this()] {
+        std::shared_ptr<PlainExchange> self = weak.lock();
+        if (self && self->cancellation_.cancel())
+            self->endWithoutCaller();
+    });
     std::string key(request_.headers.get(idempotencyHeader));
     if (terms_.route.isIdempotent || key.empty()) {
         queue();
@@ -125,10 +131,23 @@
 void PlainExchange::queue()
 {
     std::shared_ptr<PlainExchange> self = shared_from_this();
-    context_.scheduler.submit(
+    QueueTicket ticket = context_.scheduler.submit(
         {query_, terms_.team, terms_.weight, terms_.maxConcurrent, deadline_},
         [self](Placement placement) { self->onPlaced(std::move(placement)); },
         [self](const Error& error) { self->refuse(error); });
+    if (cancellation_.watchTicket(std::move(ticket)))
+        endWithoutCaller();
+}
+
+bool PlainExchange::hasClaim() const { return claim_ && claim_->verdict() == ClaimVerdict::Proceed; }
+
+void PlainExchange::endWithoutCaller()
+{
+    context_.metrics.callersGone.fetch_add(1);
+    LogEvent("request.caller_gone", Severity::Info).with("request", attemptId_).with("attempts", attempts_);
+    RunState run = tracker_.state();
+    settleThenAnswer(releaseClaim(run),
+        errorResponse({ErrorKind::OutcomeUnknown, "the caller closed its connection"}, run));
 }
 
 void PlainExchange::onPlaced(Placement placement)
@@ -139,12 +158,24 @@
             "the key was withdrawn while the request waited; ask your operators for a new one"});
         return;
     }
+    if (cancellation_.isCancelled()) {
+        endWithoutCaller();
+        return;
+    }
     ++attempts_;
     bool isRepeat = tracker_.state() != RunState::NotRun;
     checkInvariant(terms_.route.isIdempotent || !isRepeat, "plain.never_sent_twice");
     std::shared_ptr<PlainExchange> self = shared_from_this();
-    context_.upstream.start(
-        makeCall(), [self](const HttpCallResult& result) { self->onAttemptDone(result); });
+    auto startCall = [&] {
+        return context_.upstream.start(makeCall(), [self](const HttpCallResult& result) {
+            self->cancellation_.finishCall();
+            self->onAttemptDone(result);
+        });
+    };
+    if (hasClaim())
+        startCall();
+    else
+        cancellation_.runCall(startCall);
 }
 
 HttpCall PlainExchange::makeCall() const
@@ -184,6 +215,10 @@
         finishRan(judged);
         return;
     }
+    if (judged.end == CallEnd::Cancelled && cancellation_.isCancelled()) {
+        endWithoutCaller();
+        return;
+    }
     endpoint->onAttemptFailed(context_.clock.now());
     LogEvent("attempt.failed", Severity::Warning)
         .with("request", attemptId_)
@@ -227,11 +262,14 @@
 {
     RunState run = tracker_.state();
     (run == RunState::NotRun ? context_.metrics.refusedNotRun : context_.metrics.outcomeUnknown).fetch_add(1);
-    StoreOps ops;
-    bool hasClaim = claim_ && claim_->verdict() == ClaimVerdict::Proceed;
-    if (hasClaim)
-        ops = run == RunState::NotRun ? claim_->abandon() : claim_->recordUnknown();
-    settleThenAnswer(std::move(ops), errorResponse(error, run, run == RunState::NotRun ? 1 : 0));
+    settleThenAnswer(releaseClaim(run), errorResponse(error, run, run == RunState::NotRun ? 1 : 0));
+}
+
+StoreOps PlainExchange::releaseClaim(RunState run)
+{
+    if (!hasClaim())
+        return {};
+    return run == RunState::NotRun ? claim_->abandon() : claim_->recordUnknown();
 }
 
 void PlainExchange::settleThenAnswer(StoreOps ops, HttpResponse response)
--- a/ragwortwinch/dispatch/plain_exchange.h
+++ b/ragwortwinch/dispatch/plain_exchange.h
@@ -5,9 +5,12 @@
 //
 // A request on a route that is not idempotent is never sent twice: once its first byte may have left, a
 // failure is "outcome unknown". With an Idempotency-Key a repeat through any node gets the recorded outcome.
-// Keeps itself alive until it has answered; callbacks come one at a time.
+// Once the caller has gone, the request leaves the queue or its call is cancelled; only a call under a claim
+// runs to its end, since the caller's repeat asks for its outcome. Keeps itself alive until it has answered.
+// Callbacks come one at a time; only the word that the caller has gone comes from another thread.
 #pragma once
 
+#include "ragwortwinch/dispatch/cancellation.h"
 #include "ragwortwinch/dispatch/claim_protocol.h"
 #include "ragwortwinch/dispatch/dispatch_context.h"
 #include "ragwortwinch/dispatch/run_state.h"
@@ -32,11 +35,14 @@
     void onClaimAnswer(const StoreAnswer& answer);
     void onVerdict();
     void queue();
+    void endWithoutCaller();
+    bool hasClaim() const;
     void onPlaced(Placement placement);
     HttpCall makeCall() const;
     void onAttemptDone(const HttpCallResult& result);
     void finishRan(const HttpCallResult& result);
     void refuse(const Error& error);
+    StoreOps releaseClaim(RunState run);
     void settleThenAnswer(StoreOps ops, HttpResponse response);
     void answer(HttpResponse response);
 
@@ -52,6 +58,7 @@
     std::optional<ClaimProtocol> claim_;
     Placement placement_;
     RunTracker tracker_;
+    Cancellation cancellation_;
     int attempts_ = 0;
     // Set once the answer is known and only the claim's record is outstanding.
     std::optional<HttpResponse> finalResponse_;
--- a/ragwortwinch/dispatch/scheduler.cc
+++ b/ragwortwinch/dispatch/scheduler.cc
@@ -76,9 +76,10 @@
     return reserveLocked(query, clock_.now());
 }
 
-void Scheduler::submit(ScheduledRequest request, OnPlaced onPlaced, OnRefused onRefused)
+QueueTicket Scheduler::submit(ScheduledRequest request, OnPlaced onPlaced, OnRefused onRefused)
 {
     Calls calls;
+    QueueTicket ticket;
     {
         std::lock_guard<std::mutex> lock(mutex_);
         ServiceQueue& queue = queues_[request.query.service];
@@ -92,6 +93,7 @@
             });
         } else {
             std::uint64_t id = nextId_++;
+            ticket = {request.query.service, request.team, id};
             std::int64_t cost
                 = std::max<std::int64_t>(1, request.query.promptTokens + request.query.outputTokens);
             queue.order.push({id, request.team, request.weight, cost, request.deadline});
@@ -103,6 +105,25 @@
     }
     for (const std::function<void()>& call : calls)
         call();
+    return ticket;
+}
+
+bool Scheduler::withdraw(const QueueTicket& ticket)
+{
+    // Destroyed after the lock is gone, since the callbacks may own what calls back here.
+    Waiting withdrawn;
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        auto queue = queues_.find(ticket.service);
+        if (queue == queues_.end() || !queue->second.order.remove(ticket.team, ticket.id))
+            return false;
+        auto found = queue->second.waiting.find(ticket.id);
+        checkInvariant(found != queue->second.waiting.end(), "scheduler.queued_request_waits");
+        withdrawn = std::move(found->second);
+        queue->second.waiting.erase(found);
+        --queued_;
+    }
+    return true;
 }
 
 bool Scheduler::mayStart(const ServiceQueue& queue, const std::string& team) const
--- a/ragwortwinch/dispatch/scheduler.h
+++ b/ragwortwinch/dispatch/scheduler.h
@@ -31,6 +31,13 @@
     Instant deadline;
 };
 
+// Where a request waits; names nothing if the scheduler refused it.
+struct QueueTicket {
+    std::string service;
+    std::string team;
+    std::uint64_t id = 0;
+};
+
 // The place of one running request; gives it back when destroyed. Movable.
 class Placement {
 public:
@@ -63,7 +70,10 @@
     // How many nodes share each team's limit.
     void setNodeCount(std::size_t count) { nodeCount_.store(static_cast<std::int64_t>(count)); }
 
-    void submit(ScheduledRequest request, OnPlaced onPlaced, OnRefused onRefused);
+    // The callbacks may come before it returns.
+    QueueTicket submit(ScheduledRequest request, OnPlaced onPlaced, OnRefused onRefused);
+    // Takes a request from its queue; returns false if it no longer waits. After true no callback comes.
+    bool withdraw(const QueueTicket& ticket);
     // Finds room for a further attempt of a request that runs already; it does not queue.
     Reservation reserve(const RouteQuery& query);
     void pump();
--- a/ragwortwinch/net/http_server.h
+++ b/ragwortwinch/net/http_server.h
@@ -29,10 +29,11 @@
     virtual std::size_t writeStream(std::string chunk) = 0;
     // Ends the chunked response.
     virtual void endStream() = 0;
-    // True once the caller has gone, as far as known.
+    // True once the caller has closed its connection, also only its sending side. A caller that has sent a
+    // further request in advance is known to have gone only when a write fails.
     virtual bool isClosed() const = 0;
     virtual std::size_t unsentBytes() const = 0;
-    // Called once, from a server thread, when a write to the caller fails.
+    // Called once, from a server thread, when the caller has gone or a write to it fails.
     virtual void onClosed(std::function<void()>) = 0;
     // Called from a server thread each time queued bytes have been written.
     virtual void onWritten(std::function<void()>) = 0;
--- /dev/null
+++ b/ragwortwinch/net/http_server_test.cc
@@ -0,0 +1,116 @@
+#include "ragwortwinch/net/http_server.h"
+#include "testing/forward/raw_socket.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+#include <mutex>
+#include <thread>
+
+namespace ragwortwinch {
+namespace {
+
+using testing::RawSocket;
+
+// Keeps the responders and answers when told to.
+class HoldingHandler final : public HttpHandler {
+public:
+    void handle(HttpRequest, std::shared_ptr<HttpResponder> responder) override
+    {
+        responder->onClosed([this] { closed_.fetch_add(1); });
+        std::lock_guard<std::mutex> lock(mutex_);
+        responders_.push_back(std::move(responder));
+    }
+    std::size_t held() const
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return responders_.size();
+    }
+    std::shared_ptr<HttpResponder> at(std::size_t index) const
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return responders_.at(index);
+    }
+    int closed() const { return closed_.load(); }
+
+private:
+    mutable std::mutex mutex_;
+    std::vector<std::shared_ptr<HttpResponder>> responders_;
+    std::atomic<int> closed_{0};
+};
+
+struct RunningServer {
+    RunningServer()
+        : server(handleErrors([this] { return HttpServerBuilder().threads(2).handler(handler).start(); },
+            [](const Error&) { return std::unique_ptr<HttpServer>(); }))
+    {
+        REQUIRE(server);
+    }
+
+    RawSocket ask(const std::string& path = "/")
+    {
+        RawSocket caller = RawSocket::connectTo(server->port());
+        caller.send(request(path));
+        return caller;
+    }
+    static std::string request(const std::string& path)
+    {
+        return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+    // Half a second, the platform's rule for a caller's close, and no longer.
+    static bool holdsInTime(const std::function<bool()>& predicate)
+    {
+        for (int step = 0; step < 50 && !predicate(); ++step)
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        return predicate();
+    }
+
+    std::shared_ptr<HoldingHandler> handler = std::make_shared<HoldingHandler>();
+    std::unique_ptr<HttpServer> server;
+};
+
+TEST_CASE("a handler is told within half a second that its caller has closed or reset its connection")
+{
+    for (bool byReset : {false, true}) {
+        RunningServer running;
+        RawSocket caller = running.ask();
+        REQUIRE(running.holdsInTime([&] { return running.handler->held() == 1; }));
+        byReset ? caller.reset() : caller.close();
+        CHECK(running.holdsInTime([&] { return running.handler->closed() == 1; }));
+        CHECK(running.handler->at(0)->isClosed());
+    }
+}
+
+TEST_CASE("the watch on one request leaves the next one on the same connection alone")
+{
+    RunningServer running;
+    RawSocket caller = running.ask();
+    for (std::size_t index = 0; index < 20; ++index) {
+        REQUIRE(running.holdsInTime([&] { return running.handler->held() == index + 1; }));
+        running.handler->at(index)->send(jsonResponse(200, "{}"));
+        CHECK(caller.readMessage().starts_with("HTTP/1.1 200"));
+        caller.send(RunningServer::request("/"));
+    }
+    REQUIRE(running.holdsInTime([&] { return running.handler->held() == 21; }));
+    CHECK(running.handler->closed() == 0);
+    caller.close();
+    CHECK(running.holdsInTime([&] { return running.handler->at(20)->isClosed(); }));
+    CHECK(running.handler->closed() == 1);
+}
+
+TEST_CASE("requests sent in advance are answered in turn, and their bytes are not taken for a close")
+{
+    RunningServer running;
+    RawSocket caller = running.ask("/first");
+    caller.send(RunningServer::request("/second"));
+    REQUIRE(running.holdsInTime([&] { return running.handler->held() == 1; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    CHECK_FALSE(running.handler->at(0)->isClosed());
+    running.handler->at(0)->send(jsonResponse(200, "{}"));
+    CHECK(caller.readMessage().starts_with("HTTP/1.1 200"));
+    REQUIRE(running.holdsInTime([&] { return running.handler->held() == 2; }));
+    caller.close();
+    CHECK(running.holdsInTime([&] { return running.handler->at(1)->isClosed(); }));
+}
+
+} // namespace
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/net/internal/peer_watch.h
@@ -0,0 +1,99 @@
+// Notices that the peer of a socket has closed it while nobody reads from it.
+//
+//     std::shared_ptr<PeerWatch> watch = PeerWatch::current();   // inside a handler of the watched socket
+//     watch->start([state] { state->markClosed(); });
+//
+// Waits until the socket is readable and peeks, so that no byte is taken from the reader. A peer that has
+// sent more bytes in advance hides its close behind them: it is then noticed at the next read or write. A
+// peer that closes only its sending side counts as gone. Thread-safe. Outlives the socket.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <sys/socket.h>
+#include <utility>
+
+namespace ragwortwinch::internal {
+
+class PeerWatch : public std::enable_shared_from_this<PeerWatch> {
+public:
+    using OnGone = std::function<void()>;
+
+    PeerWatch(asio::ip::tcp::socket& socket, asio::any_io_executor executor)
+        : socket_(&socket)
+        , executor_(std::move(executor))
+    {
+    }
+
+    // Marks a watch as the one of the socket whose handler runs on this thread.
+    class Scope {
+    public:
+        explicit Scope(std::shared_ptr<PeerWatch> watch)
+            : previous_(std::exchange(current_, std::move(watch)))
+        {
+        }
+        ~Scope() { current_ = std::move(previous_); }
+        Scope(const Scope&) = delete;
+        Scope& operator=(const Scope&) = delete;
+
+    private:
+        std::shared_ptr<PeerWatch> previous_;
+    };
+
+    // Null outside a socket's handler.
+    static std::shared_ptr<PeerWatch> current() { return current_; }
+
+    // Calls `onGone` once if the peer closes; a later start replaces it.
+    void start(OnGone onGone)
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        onGone_ = std::move(onGone);
+        if (isWaiting_ || !socket_)
+            return;
+        isWaiting_ = true;
+        socket_->async_wait(asio::ip::tcp::socket::wait_read,
+            asio::bind_executor(executor_,
+                [self = shared_from_this()](const asio::error_code& error) { self->onReadable(error); }));
+    }
+
+    // The socket is destroyed or moved away.
+    void detach()
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        socket_ = nullptr;
+    }
+
+private:
+    void onReadable(const asio::error_code& error)
+    {
+        OnGone onGone;
+        {
+            std::lock_guard<std::mutex> lock(mutex_);
+            isWaiting_ = false;
+            if (error || !socket_ || !isClosedByPeer())
+                return;
+            onGone = std::exchange(onGone_, nullptr);
+        }
+        if (onGone)
+            onGone();
+    }
+
+    bool isClosedByPeer() const
+    {
+        char byte = 0;
+        ssize_t size = ::recv(socket_->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    }
+
+    static inline thread_local std::shared_ptr<PeerWatch> current_;
+
+    std::mutex mutex_;
+    asio::ip::tcp::socket* socket_;
+    asio::any_io_executor executor_;
+    OnGone onGone_;
+    bool isWaiting_ = false;
+};
+
+} // namespace ragwortwinch::internal
--- a/ragwortwinch/net/internal/replying_socket.h
+++ b/ragwortwinch/net/internal/replying_socket.h
@@ -1,10 +1,12 @@
-// A TCP socket that tells the peer why its connection is closed.
+// A TCP socket that tells the peer why its connection is closed, and its handlers when the peer has gone.
 //
 // RESTinio closes a connection without an answer when a request breaks a limit or is malformed. This socket
 // sees the shutdown and, when bytes of a request have arrived that no response has followed, first sends a
-// short error response.
+// short error response. Its `PeerWatch` is current while a read or write handler runs.
 #pragma once
 
+#include "ragwortwinch/net/internal/peer_watch.h"
+
 #include <asio.hpp>
 #include <string_view>
 #include <utility>
@@ -17,29 +19,47 @@
         : asio::ip::tcp::socket(context)
     {
     }
+    // RESTinio moves a socket only before its first read or write, so no watch exists then.
     ReplyingSocket(ReplyingSocket&&) = default;
     ReplyingSocket& operator=(ReplyingSocket&&) = default;
+    ~ReplyingSocket()
+    {
+        if (watch_)
+            watch_->detach();
+    }
 
     template <typename Buffers, typename Handler>
     auto async_read_some(const Buffers& buffers, Handler&& handler)
     {
+        // Keeps the handler's strand: without it handlers of one connection would run on several threads.
+        auto executor = asio::get_associated_executor(handler, get_executor());
         return asio::ip::tcp::socket::async_read_some(buffers,
-            [this, handler = std::forward<Handler>(handler)](
-                const asio::error_code& error, std::size_t size) mutable {
-                // `this` lives: RESTinio's handler holds the connection that owns the socket.
-                if (!error && size > 0)
-                    hasUnansweredBytes_ = true;
-                if (error)
-                    hasUnansweredBytes_ = false;
-                handler(error, size);
-            });
+            asio::bind_executor(executor,
+                [this, watch = watchOn(executor), handler = std::forward<Handler>(handler)](
+                    const asio::error_code& error, std::size_t size) mutable {
+                    // `this` lives: RESTinio's handler holds the connection that owns the socket.
+                    if (!error && size > 0)
+                        hasUnansweredBytes_ = true;
+                    if (error)
+                        hasUnansweredBytes_ = false;
+                    PeerWatch::Scope scope(std::move(watch));
+                    handler(error, size);
+                }));
     }
 
     template <typename Buffers, typename Handler>
     auto async_write_some(const Buffers& buffers, Handler&& handler)
     {
         hasUnansweredBytes_ = false;
-        return asio::ip::tcp::socket::async_write_some(buffers, std::forward<Handler>(handler));
+        auto executor = asio::get_associated_executor(handler, get_executor());
+        return asio::ip::tcp::socket::async_write_some(buffers,
+            asio::bind_executor(executor,
+                [watch = watchOn(executor), handler = std::forward<Handler>(handler)](
+                    const asio::error_code& error, std::size_t size) mutable {
+                    // A request that was sent in advance is handled inside the handler of the last write.
+                    PeerWatch::Scope scope(std::move(watch));
+                    handler(error, size);
+                }));
     }
 
     void shutdown(shutdown_type what, asio::error_code& error)
@@ -57,7 +77,15 @@
         = "HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Type: application/json\r\n\r\n"
           R"({"error":{"kind":"bad_request","message":"the request was not read: it is malformed, larger than this server's limits on header or body, or came too slowly; send a smaller or correct request","request":"not_run"}})";
 
+    std::shared_ptr<PeerWatch> watchOn(const asio::any_io_executor& executor)
+    {
+        if (!watch_)
+            watch_ = std::make_shared<PeerWatch>(*this, executor);
+        return watch_;
+    }
+
     bool hasUnansweredBytes_ = false;
+    std::shared_ptr<PeerWatch> watch_;
 };
 
 } // namespace ragwortwinch::internal
--- a/ragwortwinch/net/restinio_http_server.cc
+++ b/ragwortwinch/net/restinio_http_server.cc
@@ -21,7 +21,7 @@
     static constexpr bool use_connection_count_limiter = true;
 };
 
-// State shared between a responder and the write callbacks that RESTinio holds.
+// State shared between a responder, the write callbacks that RESTinio holds and the watch on the caller.
 struct WriteState {
     std::atomic<std::size_t> unsentBytes{0};
     std::atomic<bool> isClosed{false};
@@ -29,16 +29,29 @@
     std::function<void()> onClosed;
     std::function<void()> onWritten;
 
+    void markClosed()
+    {
+        std::function<void()> callback;
+        {
+            std::lock_guard<std::mutex> lock(mutex);
+            if (!isClosed.exchange(true))
+                callback = std::move(onClosed);
+        }
+        if (callback)
+            callback();
+    }
+
     void finishWrite(std::size_t size, bool failed)
     {
         unsentBytes.fetch_sub(size);
+        if (failed) {
+            markClosed();
+            return;
+        }
         std::function<void()> callback;
         {
             std::lock_guard<std::mutex> lock(mutex);
-            if (failed && !isClosed.exchange(true))
-                callback = std::move(onClosed);
-            else if (!failed)
-                callback = onWritten;
+            callback = onWritten;
         }
         if (callback)
             callback();
@@ -51,6 +64,11 @@
         : request_(std::move(request))
         , state_(std::make_shared<WriteState>())
     {
+        if (std::shared_ptr<internal::PeerWatch> watch = internal::PeerWatch::current())
+            watch->start([weak = std::weak_ptr<WriteState>(state_)] {
+                if (std::shared_ptr<WriteState> state = weak.lock())
+                    state->markClosed();
+            });
     }
 
     ~RestinioResponder() override
--- /dev/null
+++ b/testing/process/caller_gone_process_test.cc
@@ -0,0 +1,97 @@
+// A caller that closes its connection: the work that its request caused stops within half a second, whether
+// the request runs or waits, streamed or whole. Read from the endpoints' side.
+#include "testing/forward/raw_socket.h"
+#include "testing/process/test_system.h"
+
+#include <doctest/doctest.h>
+#include <thread>
+
+namespace ragwortwinch::process {
+namespace {
+
+using testing::RawSocket;
+
+// The platform's rule for work that nobody waits for any more.
+constexpr Millis noticeBound{500};
+constexpr int longAnswer = 4000;
+
+int runningAt(TestSystem& system, std::size_t engine)
+{
+    return static_cast<int>(integerMember(system.control(*system.engines[engine], "state"), "running"));
+}
+
+int swallowedBy(TestSystem& system, const char* member)
+{
+    return static_cast<int>(integerMember(system.control(*system.services[0], "state"), member));
+}
+
+RawSocket post(TestSystem& system, const std::string& path, const std::string& body)
+{
+    RawSocket caller = RawSocket::connectTo(static_cast<std::uint16_t>(system.nodes[0]->port("entry_port")));
+    REQUIRE(caller.isOpen());
+    caller.send("POST " + path + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + TestSystem::key
+        + "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+        + body);
+    return caller;
+}
+
+RawSocket askForChat(TestSystem& system, bool stream)
+{
+    Json body{{"model", "brew-model"}, {"max_tokens", longAnswer}, {"stream", stream},
+        {"messages", {{{"role", "user"}, {"content", "a long answer"}}}}};
+    return post(system, "/v1/chat/completions", body.dump());
+}
+
+bool holdsWithinBound(const std::function<bool()>& predicate)
+{
+    Instant end = SystemClock().now() + noticeBound;
+    while (SystemClock().now() < end) {
+        if (predicate())
+            return true;
+        std::this_thread::sleep_for(Millis(10));
+    }
+    return predicate();
+}
+
+void checkEngineStops(bool stream)
+{
+    TestSystem system({.nodes = 1, .engines = 1});
+    RawSocket caller = askForChat(system, stream);
+    system.until("the engine generates", [&] { return runningAt(system, 0) == 1; });
+    caller.close();
+    CHECK(holdsWithinBound([&] { return runningAt(system, 0) == 0; }));
+}
+
+TEST_CASE("the engine stops when the caller of a whole answer has gone") { checkEngineStops(false); }
+
+TEST_CASE("the engine stops when the caller of a stream has gone") { checkEngineStops(true); }
+
+TEST_CASE("a request whose caller left the queue never reaches an engine")
+{
+    // A request takes 251 pieces of 16 tokens, so there is room for one at a time.
+    TestSystem system({.nodes = 1, .engines = 1, .pieces = "300"});
+    RawSocket first = askForChat(system, false);
+    system.until("the engine generates", [&] { return runningAt(system, 0) == 1; });
+    RawSocket second = askForChat(system, false);
+    system.until("the second request waits",
+        [&] { return integerMember(system.admin(0, "GET", "/dump"), "queued") == 1; });
+    second.close();
+    CHECK(holdsWithinBound([&] { return integerMember(system.admin(0, "GET", "/dump"), "queued") == 0; }));
+    first.close();
+    CHECK(holdsWithinBound([&] { return runningAt(system, 0) == 0; }));
+    std::this_thread::sleep_for(noticeBound);
+    CHECK(runningAt(system, 0) == 0);
+}
+
+TEST_CASE("a call to a plain service is closed when its caller has gone")
+{
+    TestSystem system({.nodes = 1, .engines = 0});
+    system.setFault(*system.services[0], "silent");
+    RawSocket caller = post(system, "/orders/book", R"({"id":"crate"})");
+    system.until("the service has the request", [&] { return swallowedBy(system, "held") == 1; });
+    caller.close();
+    CHECK(holdsWithinBound([&] { return swallowedBy(system, "abandoned") == 1; }));
+}
+
+} // namespace
+} // namespace ragwortwinch::process
--- a/testing/stand_in/fault.h
+++ b/testing/stand_in/fault.h
@@ -7,6 +7,7 @@
 #include "ragwortwinch/base/name_table.h"
 #include "ragwortwinch/net/http_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <memory>
 #include <mutex>
@@ -63,11 +64,23 @@
         std::lock_guard<std::mutex> lock(mutex_);
         swallowed_.push_back(std::move(responder));
     }
+    // How many callers wait for an answer that does not come, and how many of them have gone.
+    std::size_t held() const
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return swallowed_.size();
+    }
+    std::size_t abandoned() const
+    {
+        std::lock_guard<std::mutex> lock(mutex_);
+        return static_cast<std::size_t>(std::count_if(swallowed_.begin(), swallowed_.end(),
+            [](const std::shared_ptr<HttpResponder>& responder) { return responder->isClosed(); }));
+    }
 
 private:
     std::atomic<FaultMode> mode_{FaultMode::None};
     std::atomic<int> delayMillis_{0};
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::vector<std::shared_ptr<HttpResponder>> swallowed_;
 };
 
