Pass over engines that refuse prompts, and offer the prompt to another one

Cause: while an engine changes its role (3 s), its registration still names the old role and it refuses prompts at once. What it refused was run whole by engines for decode. Ruled out: full engines (their queue holds 192), the registration's age (changes arrive within 0.1 s). Change: OutcomeTracker::onRefused passes over such an endpoint for 100 ms, then longer up to 1 s; its next success ends that. A refused prompt is placed once more before an engine for decode reads it.

--- a/ragwortwinch/forward/endpoint_chooser.cc
+++ b/ragwortwinch/forward/endpoint_chooser.cc
@@ -72,24 +72,25 @@
     const std::vector<UpstreamPointer>& candidates, Instant now, UpstreamPointer& dueTry)
 {
     std::vector<UpstreamPointer> good;
-    std::vector<UpstreamPointer> suspect;
+    std::vector<UpstreamPointer> avoided;
     for (const UpstreamPointer& endpoint : candidates) {
         bool isExcluded
             = std::find(query.excluded.begin(), query.excluded.end(), endpoint.get()) != query.excluded.end();
         if (isExcluded || !endpoint->isUsable())
             continue;
-        if (!endpoint->outcomes.isOnProbation()) {
+        bool isRefusing = endpoint->outcomes.isRefusing(now);
+        if (!isRefusing && !endpoint->outcomes.isOnProbation()) {
             good.push_back(endpoint);
             continue;
         }
-        suspect.push_back(endpoint);
-        if (!dueTry && query.mayProbe && endpoint->outcomes.takeTry(now))
+        avoided.push_back(endpoint);
+        if (!isRefusing && !dueTry && query.mayProbe && endpoint->outcomes.takeTry(now))
             dueTry = endpoint;
     }
     if (!good.empty())
         return good;
     dueTry = nullptr;
-    return suspect;
+    return avoided;
 }
 
 UpstreamPointer LeastLoadedChooser::choose(
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -253,7 +253,9 @@
         result.endpoint->isMisdirected = true;
     else if (result.end == AttemptEnd::NotConnected)
         result.endpoint->outcomes.onUnreachable(now);
-    else if (result.end != AttemptEnd::NotExecuted)
+    else if (result.end == AttemptEnd::NotExecuted)
+        result.endpoint->outcomes.onRefused(now);
+    else
         result.endpoint->outcomes.onFailure(now);
     if (context_.log.takeFailure(now))
         LogEvent("request.prefill_failed", Severity::Warning)
@@ -268,7 +270,10 @@
         return;
     }
     tried_.push_back(result.endpoint.get());
-    place();
+    if (result.end == AttemptEnd::NotExecuted && ++refusedPrefills_ < context_.options.maxPrefills)
+        placePrompt();
+    else
+        place();
 }
 
 void Exchange::place()
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -111,6 +111,7 @@
     bool mayHaveRun_ = false;
     bool isUsageCounted_ = false;
     bool hasPrefilled_ = false;
+    int refusedPrefills_ = 0;
     PromptLane lane_ = PromptLane::OnTime;
     // Of the chosen engine, for the log.
     Millis estimate_{0};
--- a/ragwortwinch/forward/forward_options.h
+++ b/ragwortwinch/forward/forward_options.h
@@ -31,6 +31,8 @@
     double lateTimePart = 0.6;
     // How often a request may be sent in all, counting those that were not run.
     int maxSends = 3;
+    // How many engines a prompt is offered to while each refuses it; then an engine for decode reads it.
+    int maxPrefills = 2;
     // When a caller that was refused for want of room may come back.
     Millis retryAfter{250};
     // A request that can't be repeated uses a kept connection only in this part of its life.
--- a/ragwortwinch/forward/outcome_tracker.cc
+++ b/ragwortwinch/forward/outcome_tracker.cc
@@ -16,6 +16,8 @@
     failureShare_ *= 1 - outcomeWeight;
     failuresInARow_ = 0;
     ++successesInARow_;
+    refusalPause_ = firstRefusalPause;
+    refusesUntil_ = {};
     if (isSuspect_ && successesInARow_ >= trustedRun) {
         isSuspect_ = false;
         pause_ = firstPause;
@@ -40,6 +42,15 @@
     suspect(now);
 }
 
+void OutcomeTracker::onRefused(Instant now)
+{
+    // Refusals of what was sent before the first one came back belong to the same pause.
+    if (isRefusing(now))
+        return;
+    refusesUntil_ = now + refusalPause_;
+    refusalPause_ = std::min(refusalPause_ * 2, longestRefusalPause);
+}
+
 void OutcomeTracker::suspect(Instant now)
 {
     if (isSuspect_ && now < retryAt_)
--- a/ragwortwinch/forward/outcome_tracker.h
+++ b/ragwortwinch/forward/outcome_tracker.h
@@ -4,7 +4,9 @@
 //     tracker.onFailure(now);
 //     if (tracker.isSuspect(now)) prefer another endpoint, but try this one with one request in a while
 //
-// A suspect endpoint is tried again after a pause that doubles with each failed try. Not thread-safe.
+// A suspect endpoint is tried again after a pause that doubles with each failed try. One that refuses what it
+// is sent, without running it, is sound but busy: it is passed over for a shorter pause that its next success
+// ends. Not thread-safe.
 #pragma once
 
 #include "ragwortwinch/base/time.h"
@@ -21,11 +23,18 @@
     static constexpr double outcomeWeight = 0.1;
     static constexpr Millis firstPause{500};
     static constexpr Millis longestPause{4000};
+    // After a refusal: about the time that an engine's queue takes to empty. It doubles, since a change of
+    // role takes seconds.
+    static constexpr Millis firstRefusalPause{100};
+    static constexpr Millis longestRefusalPause{1000};
 
     void onSuccess(Instant now);
     void onFailure(Instant now);
     // The endpoint couldn't even be reached: suspect at once.
     void onUnreachable(Instant now);
+    // The endpoint has refused a request without running it.
+    void onRefused(Instant now);
+    bool isRefusing(Instant now) const { return now < refusesUntil_; }
     // True while other endpoints should be preferred.
     bool isSuspect(Instant now) const { return isSuspect_ && now < retryAt_; }
     // True once when a suspect endpoint is due for a try; the next one is a pause later.
@@ -42,6 +51,8 @@
     bool isSuspect_ = false;
     Millis pause_ = firstPause;
     Instant retryAt_;
+    Millis refusalPause_ = firstRefusalPause;
+    Instant refusesUntil_;
 };
 
 } // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/prompt_path_test.cc
@@ -0,0 +1,101 @@
+// Requests with long prompts, in front of engines for prefill and for decode.
+#include "testing/forward/forward_fixture.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+namespace ragwortwinch {
+namespace {
+
+using testing::answerTo;
+using testing::chunkOf;
+using testing::FakeEndpoint;
+using testing::fieldOf;
+using testing::ForwardFixture;
+using testing::RawSocket;
+
+bool refuse(RawSocket& socket, const std::string& request)
+{
+    socket.send(
+        "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: " + fieldOf(request, "Id") + "\r\nContent-Length: 0\r\n\r\n");
+    return true;
+}
+
+bool readPrompt(RawSocket& socket, const std::string& request)
+{
+    socket.send(answerTo(request, "handle-" + fieldOf(request, "Id")));
+    return true;
+}
+
+bool makeTokens(RawSocket& socket, const std::string& request)
+{
+    socket.send("HTTP/1.1 200 OK\r\nId: " + fieldOf(request, "Id") + "\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + chunkOf("id: 1\ndata: token\n\n") + "0\r\n\r\n");
+    return true;
+}
+
+// Sends one request with a long prompt and returns its whole answer.
+std::string ask(ForwardFixture& fixture, int number)
+{
+    RawSocket caller = fixture.connect();
+    caller.send(
+        ForwardFixture::request("/prompt/a", "p" + std::to_string(number), "prompt", "Tokens: 3000\r\n"));
+    std::string head = caller.readUntil("\r\n\r\n");
+    return head + (head.starts_with("HTTP/1.1 200 ") ? caller.readUntil("0\r\n\r\n") : "");
+}
+
+bool isRunAfterHandOver(const std::string& request) { return !fieldOf(request, "Cache").empty(); }
+
+TEST_CASE("a prompt is read by one engine, and its memory is handed to another")
+{
+    ForwardFixture fixture;
+    fixture.setConfig(ForwardFixture::sampleConfig());
+    FakeEndpoint reader(readPrompt);
+    FakeEndpoint decoder(makeTokens);
+    fixture.setEngines({{&reader, EngineRole::Prefill}, {&decoder, EngineRole::Decode}});
+    CHECK(ask(fixture, 1).find("data: token") != std::string::npos);
+    REQUIRE(reader.requests().size() == 1);
+    CHECK(fieldOf(reader.requests()[0], "Prefill") == "1");
+    REQUIRE(decoder.requests().size() == 1);
+    CHECK(fieldOf(decoder.requests()[0], "Cache").ends_with("/handle-p1"));
+}
+
+TEST_CASE("an engine that refuses prompts, as while it changes its role, gets few of them; others read them")
+{
+    ForwardFixture fixture;
+    fixture.setConfig(ForwardFixture::sampleConfig());
+    FakeEndpoint changing(refuse);
+    FakeEndpoint reader(readPrompt);
+    FakeEndpoint decoder(makeTokens);
+    fixture.setEngines(
+        {{&changing, EngineRole::Prefill}, {&reader, EngineRole::Prefill}, {&decoder, EngineRole::Decode}});
+    int answered = 0;
+    for (int number = 0; number < 40; ++number)
+        answered += ask(fixture, number).starts_with("HTTP/1.1 200 ") ? 1 : 0;
+    CHECK(answered == 40);
+    // One for each pause; the pauses double from 100 ms.
+    CHECK(changing.requests().size() <= 4);
+    std::vector<std::string> runs = decoder.requests();
+    CHECK(std::count_if(runs.begin(), runs.end(), isRunAfterHandOver) == 40);
+}
+
+TEST_CASE("an engine that is back after its refusals is used again")
+{
+    ForwardFixture fixture;
+    fixture.setConfig(ForwardFixture::sampleConfig());
+    std::atomic<bool> isBusy{true};
+    FakeEndpoint changing([&](RawSocket& socket, const std::string& request) {
+        return isBusy.load() ? refuse(socket, request) : readPrompt(socket, request);
+    });
+    FakeEndpoint decoder(makeTokens);
+    fixture.setEngines({{&changing, EngineRole::Prefill}, {&decoder, EngineRole::Decode}});
+    // Nobody else reads prompts alone: the engine for decode runs them whole.
+    CHECK(ask(fixture, 1).starts_with("HTTP/1.1 200 "));
+    isBusy.store(false);
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    CHECK(ask(fixture, 2).starts_with("HTTP/1.1 200 "));
+    CHECK(isRunAfterHandOver(decoder.requests().back()));
+}
+
+} // namespace
+} // namespace ragwortwinch
--- a/testing/forward/forward_fixture.h
+++ b/testing/forward/forward_fixture.h
@@ -39,7 +39,8 @@
         thread_.join();
     }
 
-    // Three routes: /safe/, /once/ and /events/, all for the team with the key "key"; /open/ for everybody.
+    // Routes /safe/, /once/, /events/, /single/ and, with prompts, /prompt/ for the team with the key "key";
+    // /open/ for everybody.
     static TrafficConfig sampleConfig()
     {
         TrafficConfig config;
@@ -63,6 +64,11 @@
         add("events", RouteKind::Stream)->isResumable = true;
         add("single", RouteKind::Stream);
         add("open", RouteKind::Idempotent)->isOpen = true;
+        add("prompt", RouteKind::Stream)->hasPromptCache = true;
+        ServiceRule service;
+        service.name = "desk";
+        service.engine = EngineRule{8, 1000000, 1, Millis(3000), Millis(5000)};
+        config.services.push_back(service);
         config.teams = {{"riders", {"key"}, std::nullopt}};
         config.limits.maxHeaderBytes = 4096;
         config.limits.maxBodyBytes = 10000;
@@ -77,9 +83,18 @@
     }
 
     void setEndpoints(const std::vector<const FakeEndpoint*>& endpoints)
+    {
+        std::vector<std::pair<const FakeEndpoint*, EngineRole>> plain;
+        for (const FakeEndpoint* endpoint : endpoints)
+            plain.emplace_back(endpoint, EngineRole::None);
+        setEngines(plain);
+    }
+
+    // Endpoints with roles, named e0, e1, ... in their order.
+    void setEngines(const std::vector<std::pair<const FakeEndpoint*, EngineRole>>& engines)
     {
         std::vector<EndpointRecord> records;
-        for (const FakeEndpoint* endpoint : endpoints) {
+        for (const auto& [endpoint, role] : engines) {
             EndpointRecord record;
             record.id = "e" + std::to_string(records.size());
             record.incarnation = 1;
@@ -87,6 +102,7 @@
             record.address = {"127.0.0.1", endpoint->port()};
             record.availabilityZone = "z";
             record.slots = 8;
+            record.role = role;
             records.push_back(record);
         }
         server_->setEndpoints(records, {{"z", "r"}});
