Order a changed count of endpoints at once

Cause: after each applied order of a count the planner waited 6 s, meant for endpoints that boot, also when the wanted count had changed meanwhile. Ruled out: refused orders (they keep their pause of 2 s). Change: only a repeat of the same count waits. Before: planner_test, the new case failed (regular 1 at 4.5 s, then nothing).

--- a/ragwortwinch/fleet/count_planner.cc
+++ b/ragwortwinch/fleet/count_planner.cc
@@ -54,8 +54,10 @@
     Instant now, const CountOrder& wanted, std::int64_t present, std::vector<CountOrder>& orders)
 {
     Subject& subject = subjects_[{wanted.service, wanted.availabilityZone, wanted.isReclaimable}];
-    bool isOrdered = subject.ordered == wanted.count && present == wanted.count;
-    if (isOrdered || subject.isUnderWay || now < subject.nextTry)
+    bool isRepeat = subject.ordered == wanted.count;
+    if (subject.isUnderWay || (isRepeat && present == wanted.count))
+        return;
+    if ((isRepeat || subject.hasFailed) && now < subject.nextTry)
         return;
     subject.isUnderWay = true;
     orders.push_back(wanted);
@@ -71,6 +73,7 @@
         .with("reclaimable", order.isReclaimable)
         .with("outcome", sendOutcomeNames.name(outcome));
     subject.isUnderWay = false;
+    subject.hasFailed = outcome != SendOutcome::Applied;
     if (outcome == SendOutcome::Applied)
         subject.ordered = order.count;
     subject.nextTry = now + (outcome == SendOutcome::Applied ? repairPause : retryPause);
--- a/ragwortwinch/fleet/count_planner.h
+++ b/ragwortwinch/fleet/count_planner.h
@@ -52,7 +52,9 @@
     struct Subject {
         // The last count that was acknowledged.
         std::optional<std::int64_t> ordered;
+        // Until then the same count isn't ordered again, and after a failure none.
         Instant nextTry;
+        bool hasFailed = false;
         bool isUnderWay = false;
     };
     // The endpoints of one service in one zone.
--- a/ragwortwinch/fleet/planner_test.cc
+++ b/ragwortwinch/fleet/planner_test.cc
@@ -58,6 +58,28 @@
     CHECK(orders[0].count == 5);
 }
 
+TEST_CASE("a count that has changed is ordered at once, and only a repeat waits for the endpoints of the order before")
+{
+    CountPlanner planner;
+    std::vector<EndpointRecord> records = threeRegular();
+    std::vector<CountOrder> orders = planner.tick(at(0), modelService(0.15), records);
+    REQUIRE(orders.size() == 1);
+    planner.onResult(at(10), orders[0], SendOutcome::Applied);
+    // Not there yet: the same count again only after a while.
+    CHECK(planner.tick(at(1000), modelService(0.15), records).empty());
+    for (const char* id : {"d", "e", "f"})
+        records.push_back(engine(id, "z", EngineRole::Prefill, true));
+    orders = planner.tick(at(4500), modelService(0.15), records);
+    REQUIRE(orders.size() == 1);
+    planner.onResult(at(4510), orders[0], SendOutcome::Applied);
+    // Room for two more, since two regular ones have left.
+    records.erase(records.begin(), records.begin() + 2);
+    orders = planner.tick(at(4750), modelService(0.15), records);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].isReclaimable);
+    CHECK(orders[0].count == 5);
+}
+
 TEST_CASE("a zone that lost its cheap endpoints gets regular ones until they are back")
 {
     CountPlanner planner;
