Keep reported usage that was told by heartbeat and lost with its process

Cause: the holder counts what peers tell with heartbeats, ahead of the store. The difference went into the carry-over as a negative figure. Change: where totals are told directly, what was reported of a contributor is its least total. The invariant stays as it is for the store's totals alone, with a test that sees it broken. Before: window_closer_test, the new case threw. After: passes.

--- a/ragwortwinch/node/gateway_duties.cc
+++ b/ragwortwinch/node/gateway_duties.cc
@@ -36,7 +36,7 @@
     , context_(context)
     , runner_(runner)
     , lease_(dutyName, settings.node, incarnation, ids, leaseOptions(settings))
-    , closer_(usageShard, ids, {settings.usageWindow, settings.usageGrace, retryInterval})
+    , closer_(usageShard, ids, {settings.usageWindow, settings.usageGrace, retryInterval, true})
     , client_(client)
     , sender_(settings.sendBound)
 {
--- a/ragwortwinch/usage/window_closer.cc
+++ b/ragwortwinch/usage/window_closer.cc
@@ -126,6 +126,10 @@
         totals[entry.key] = windowUsageFromJson(parseJsonOrDiscard(entry.value));
     for (const auto& [key, told] : directTotals_)
         raiseTotals(totals[key], told);
+    if (options_.acceptsToldTotals) {
+        for (const auto& [key, reported] : reported_.included)
+            raiseTotals(totals[key], reported);
+    }
     frozen_ = closeWindow(reported_.window + 1, reported_, totals);
     LogEvent("usage.close")
         .with("shard", shard_)
--- a/ragwortwinch/usage/window_closer.h
+++ b/ragwortwinch/usage/window_closer.h
@@ -28,6 +28,9 @@
     // How long after its end a window stays open for late contributions.
     Millis grace{3000};
     Millis retryInterval{500};
+    // Whether contributors also tell their totals directly. Then a total may shrink: what was told but not
+    // stored is lost when its process is killed. What has been reported of it stays.
+    bool acceptsToldTotals = false;
 };
 
 class WindowCloser {
--- /dev/null
+++ b/ragwortwinch/usage/window_closer_test.cc
@@ -0,0 +1,73 @@
+#include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/usage/usage_flusher.h"
+#include "ragwortwinch/usage/window_closer.h"
+
+#include <doctest/doctest.h>
+#include <stdexcept>
+
+namespace ragwortwinch {
+namespace {
+
+constexpr Authority held{5, true};
+
+// A closer whose latest reported window is 6, with ten requests of one contributor in it.
+struct RunningCloser {
+    explicit RunningCloser(bool acceptsToldTotals)
+        : closer("0", ids, {Millis(5000), Millis(1000), Millis(500), acceptsToldTotals})
+    {
+        setInvariantMode(InvariantMode::Throw);
+        ClosedWindow previous;
+        previous.window = 6;
+        previous.included["usage/node/a"][6]["riders"] = {10, 0, 0};
+        answer(tick(), {0, StoreStatus::Ok, 1, "6", {}});
+        answer(last, {0, StoreStatus::Ok, 1, previous.toJson(), {}});
+    }
+    ~RunningCloser() { setInvariantMode(InvariantMode::CountAndLog); }
+
+    StoreOp tick()
+    {
+        StoreOps ops = closer.tick(Instant(Millis(1000)), 8 * 5000 + 1500, held);
+        REQUIRE(ops.size() == 1);
+        return ops[0];
+    }
+    void answer(const StoreOp& op, StoreAnswer given)
+    {
+        given.opId = op.id;
+        StoreOps next = closer.onAnswer(Instant(Millis(1000)), given);
+        if (!next.empty())
+            last = next[0];
+    }
+    // Closes window 7 from these totals in the store; returns what is frozen.
+    ClosedWindow close(const WindowUsage& stored)
+    {
+        answer(tick(), {0, StoreStatus::NotFound, 0, "", {}});
+        answer(last, {0, StoreStatus::Ok, 0, "", {{"usage/node/a", toJson(stored).dump(), 1}}});
+        REQUIRE(last.verb == StoreVerb::Put);
+        std::optional<ClosedWindow> frozen = parseClosedWindow(last.value);
+        REQUIRE(frozen);
+        return *frozen;
+    }
+
+    OpIds ids;
+    WindowCloser closer;
+    StoreOp last;
+};
+
+TEST_CASE("what was told and reported, and then lost with its process, takes nothing away")
+{
+    RunningCloser running(true);
+    // The process was killed before it had stored its last two requests of window 6.
+    ClosedWindow frozen = running.close({{6, {{"riders", {8, 0, 0}}}}, {7, {{"riders", {3, 0, 0}}}}});
+    CHECK(frozen.figures.at("riders").requests == 3);
+    CHECK(frozen.carryOver.empty());
+    CHECK(frozen.included["usage/node/a"][6]["riders"].requests == 10);
+}
+
+TEST_CASE("where only the store's totals count, ones that shrink break the invariant")
+{
+    RunningCloser running(false);
+    CHECK_THROWS_AS(running.close({{6, {{"riders", {8, 0, 0}}}}}), std::logic_error);
+}
+
+} // namespace
+} // namespace ragwortwinch
