Let the command line show nodes in gateway mode

Cause: 'ragwortwinch status' and 'dump' asked for paths that a node in gateway mode did not have (its dump stood elsewhere, with other field names). Change: /dump and /admin/v1/status with the fields that other nodes have; gateway_status.cc out of gateway_node.cc. 'fetch' and the like say where the configuration stands.

--- a/ragwortwinch/node/gateway_handlers.cc
+++ b/ragwortwinch/node/gateway_handlers.cc
@@ -58,11 +58,16 @@
         responder->send(std::move(response));
         return;
     }
-    if (request.path == "/admin/v1/dump") {
-        dump_([responder](const Json& state) { responder->send(jsonResponse(statusOk, state.dump(1))); });
-        return;
-    }
-    responder->send(errorAnswer(statusNotFound, "use /metrics or /admin/v1/dump"));
+    auto show = [responder](const Json& state) { responder->send(jsonResponse(statusOk, state.dump(1))); };
+    if (request.path == "/dump")
+        dump_(show);
+    else if (request.path == "/admin/v1/status")
+        status_(show);
+    else
+        responder->send(errorAnswer(statusNotFound,
+            "in gateway mode this port has /metrics, /dump and /admin/v1/status; the configuration stands in "
+            "the "
+            "platform's store"));
 }
 
 } // namespace ragwortwinch
--- a/ragwortwinch/node/gateway_handlers.h
+++ b/ragwortwinch/node/gateway_handlers.h
@@ -42,13 +42,15 @@
     Millis validity_;
 };
 
-// Metrics and the dump of the process's state.
+// Metrics, the status and the dump of the process's state, for `ragwortwinch status` and `ragwortwinch dump`.
 class GatewayAdminHandler final : public HttpHandler {
 public:
-    using Dump = std::function<void(std::function<void(Json)>)>;
+    // Hands a view of the state to its argument, on whatever thread.
+    using View = std::function<void(std::function<void(Json)>)>;
 
-    GatewayAdminHandler(prometheus::Registry& registry, Dump dump)
+    GatewayAdminHandler(prometheus::Registry& registry, View status, View dump)
         : registry_(registry)
+        , status_(std::move(status))
         , dump_(std::move(dump))
     {
     }
@@ -56,7 +58,8 @@
 
 private:
     prometheus::Registry& registry_;
-    Dump dump_;
+    View status_;
+    View dump_;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -102,11 +102,15 @@
     BOOST_LEAF_ASSIGN(directoryServer_,
         startServer(settings_.directoryAddress,
             std::make_shared<AddressHandler>(directory_, settings_.answerValidity)));
-    GatewayAdminHandler::Dump dumper = [this](std::function<void(Json)> onDone) {
+    GatewayAdminHandler::View showStatus = [this](std::function<void(Json)> onDone) {
+        asio::post(context_, [this, onDone = std::move(onDone)] { onDone(status(clock_.now())); });
+    };
+    GatewayAdminHandler::View showDump = [this](std::function<void(Json)> onDone) {
         asio::post(context_, [this, onDone = std::move(onDone)] { onDone(dump(clock_.now())); });
     };
     BOOST_LEAF_ASSIGN(adminServer_,
-        startServer(settings_.adminAddress, std::make_shared<GatewayAdminHandler>(registry_, dumper)));
+        startServer(settings_.adminAddress,
+            std::make_shared<GatewayAdminHandler>(registry_, std::move(showStatus), std::move(showDump))));
     settings_.adminAddress.port = adminServer_->port();
     registration_ = std::make_unique<VmRegistration>(selfInfo(), opIds_, registrationTtl);
     duties_ = std::make_unique<GatewayDuties>(
@@ -467,26 +471,4 @@
     ended_.wait(lock, [this] { return hasEnded_; });
 }
 
-Json GatewayNode::dump(Instant now) const
-{
-    Json vms = Json::array();
-    for (const auto& [name, entry] : vms_.entries())
-        vms.push_back({{"name", name}, {"ready", entry.info.isReady}, {"leaving", entry.info.isLeaving},
-            {"entry", entry.info.entryAddress.text()},
-            {"heard_ms_ago", entry.lastHeard == Instant::min() ? -1 : (now - entry.lastHeard).count()}});
-    Json endpoints = Json::array();
-    std::map<std::string, EndpointWork> work = forward_->work();
-    for (const EndpointRecord& record : endpoints_.records())
-        endpoints.push_back({{"id", record.id}, {"service", record.service},
-            {"address", record.address.text()}, {"zone", record.availabilityZone},
-            {"role", engineRoleNames.name(record.role)}, {"draining", record.isDraining},
-            {"running_here", work.contains(record.id) ? work.at(record.id).running : 0}});
-    return {{"node", settings_.node}, {"incarnation", incarnation_}, {"draining", isDraining_},
-        {"config_version", configVersion_}, {"store_lost", follower_.isStoreLost()},
-        {"store_answered_ms_ago", (now - follower_.provedAt()).count()},
-        {"store_calls", runner_.calls() + storeCalls_}, {"clock_error_ms", time_.ownErrorMillis()},
-        {"peer_bytes_sent", links_.bytesSent()}, {"dropped_log_lines", droppedLogLines()},
-        {"duty", duties_->dump(now)}, {"vms", vms}, {"endpoints", endpoints}};
-}
-
 } // namespace ragwortwinch
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -73,6 +73,8 @@
     // What the latest usage windows of this process hold.
     WindowUsage latestUsage(Instant now) const;
     VmInfo selfInfo() const;
+    // What the operators' command line shows, with the fields that a node outside of gateway mode has too.
+    Json status(Instant now) const;
     Json dump(Instant now) const;
 
     GatewaySettings settings_;
--- /dev/null
+++ b/ragwortwinch/node/gateway_status.cc
@@ -0,0 +1,47 @@
+// What a node in gateway mode tells operators of itself: status and dump.
+#include "ragwortwinch/base/invariant.h"
+#include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/node/gateway_node.h"
+
+namespace ragwortwinch {
+
+Json GatewayNode::status(Instant now) const
+{
+    Json vms = Json::array();
+    for (const auto& [name, entry] : vms_.entries()) {
+        bool isHeard = entry.lastHeard != Instant::min();
+        vms.push_back({{"name", name}, {"availability_zone", entry.info.availabilityZone},
+            {"ready", entry.info.isReady}, {"leaving", entry.info.isLeaving},
+            {"entry", entry.info.entryAddress.text()},
+            {"silent_ms", isHeard ? (now - entry.lastHeard).count() : -1}});
+    }
+    Json endpoints = Json::array();
+    std::map<std::string, EndpointWork> work = forward_->work();
+    for (const EndpointRecord& record : endpoints_.records()) {
+        auto known = work.find(record.id);
+        endpoints.push_back({{"name", record.id}, {"service", record.service},
+            {"address", record.address.text()}, {"availability_zone", record.availabilityZone},
+            {"role", engineRoleNames.name(record.role)}, {"reclaimable", record.isReclaimable},
+            {"running", known == work.end() ? 0 : known->second.running}, {"usable", !record.isDraining},
+            {"leaving", record.isDraining}});
+    }
+    return {{"node", settings_.node}, {"ready", isReady_.load()}, {"config_version", configVersion_},
+        {"store_down", follower_.isStoreLost()}, {"proof_age_ms", (now - follower_.provedAt()).count()},
+        {"vms", vms}, {"endpoints", endpoints}, {"duties", Json::array({duties_->dump(now)})}};
+}
+
+Json GatewayNode::dump(Instant now) const
+{
+    Json state = status(now);
+    state["incarnation"] = incarnation_;
+    state["draining"] = isDraining_;
+    state["store_calls"] = runner_.calls() + storeCalls_;
+    state["clock_error_ms"] = time_.ownErrorMillis();
+    state["peers"] = links_.connectedPeers();
+    state["peer_bytes_sent"] = links_.bytesSent();
+    state["dropped_log_lines"] = droppedLogLines();
+    state["broken_invariants"] = brokenInvariants();
+    return state;
+}
+
+} // namespace ragwortwinch
