Let prompts that engines for decode read go behind answers that need tokens only

Cause: in overload long prompts spill over to engines for decode and fill their slots at the caller's own priority, the highest; hand-overs and short prompts wait behind them. Change: such a prompt takes a priority two lower than its route's. The log of a request shows the tokens ahead of its prompt and the speed assumed.

--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -22,6 +22,9 @@
 constexpr int leastUrgent = 9;
 // What will be late goes behind all that can be on time.
 constexpr int latePriority = 5;
+// A long prompt that an engine for decode reads itself goes behind answers that only need tokens, of the next
+// priority too: it holds a slot for as long as ten of them.
+constexpr int longReadPriority = 2;
 // An answer that is held as a whole may have this many bytes.
 constexpr std::size_t maxWholeAnswer = 16 * 1024 * 1024;
 
@@ -190,26 +193,31 @@
     estimate_ = choice->firstToken;
     tokensToRead_ = choice->tokensToRead;
     promptEngine_ = choice->engine->record.id;
+    assumedSpeed_ = choice->engine->prompts.tokensPerMilli();
     if (choice->engine->record.role == EngineRole::Prefill)
         startPrefill(*choice);
     else
         sendPrompt(*choice);
 }
 
-void Exchange::sendPrompt(const EngineChoice& choice)
+void Exchange::takeTicket(const EngineChoice& choice)
 {
     ticketEngine_ = choice.engine;
     ticket_ = choice.engine->prompts.onSent(choice.tokensToRead, choice.lane, context_.clock.now());
+    tokensAhead_ = ticket_->ahead;
     choice.engine->cache.onRead(request_->caller.promptParts);
+}
+
+void Exchange::sendPrompt(const EngineChoice& choice)
+{
+    takeTicket(choice);
     send(choice.engine);
 }
 
 void Exchange::startPrefill(const EngineChoice& choice)
 {
     hasPrefilled_ = true;
-    ticketEngine_ = choice.engine;
-    ticket_ = choice.engine->prompts.onSent(choice.tokensToRead, choice.lane, context_.clock.now());
-    choice.engine->cache.onRead(request_->caller.promptParts);
+    takeTicket(choice);
     ForwardedFields own = ownFields(choice.engine);
     own.isPrefill = true;
     AttemptOptions options = attemptOptions();
@@ -319,8 +327,11 @@
         own.team = team_->name;
     if (endpoint->record.role != EngineRole::None) {
         int priority = team_ && team_->priority ? *team_->priority : route_->priority;
+        bool isLongRead = endpoint->record.role == EngineRole::Decode && wantsPrefill() && cacheSource_.empty();
         if (lane_ == PromptLane::Late)
             priority += latePriority;
+        else if (isLongRead)
+            priority += longReadPriority;
         own.priority = std::clamp(priority, 0, leastUrgent);
     }
     return own;
@@ -656,6 +667,8 @@
         .with("prefilled", hasPrefilled_)
         .with("prompt_engine", promptEngine_)
         .with("to_read", tokensToRead_)
+        .with("ahead", tokensAhead_)
+        .with("speed", assumedSpeed_)
         .with("late_lane", lane_ == PromptLane::Late)
         .with("estimate_ms", estimate_.count())
         .with("prefill_ms", prefillTime_.count())
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -60,6 +60,8 @@
     // Chooses the engine for a long prompt; refuses what can't be answered in time.
     void placePrompt();
     void startPrefill(const EngineChoice& choice);
+    // Counts the prompt among those that the engine has to read.
+    void takeTicket(const EngineChoice& choice);
     void sendPrompt(const EngineChoice& choice);
     void onPrefillDone(const PrefillResult& result);
     void place();
@@ -117,6 +119,9 @@
     Millis estimate_{0};
     std::string promptEngine_;
     std::int64_t tokensToRead_ = 0;
+    // Tokens to be read when it came, its own included, and the speed that the estimate assumed.
+    std::int64_t tokensAhead_ = 0;
+    double assumedSpeed_ = 0;
     Millis prefillTime_{0};
     Millis firstEventTime_{0};
     // The prompt that an engine is reading, and the engine.
