Estimate reading times by sums of what prompts took against a model

Cause: the learnt speed was the mean of single speeds, tokens ahead through time taken, of prompts with many tokens ahead. That count is often too great: what other VMs have sent is told a heartbeat late, and what an engine keeps for them is not known here. Ruled out: the half speed of engines for decode (the same error on both roles); the registration's age. Change: EngineLoad keeps two decaying sums over all prompts on time, what the model gave and what they took; their ratio, the slowness, scales the model. Given up prompts count when they are late already. A new role starts anew. The time of a hand-over is learnt too.

--- a/ragwortwinch/forward/endpoint_directory.cc
+++ b/ragwortwinch/forward/endpoint_directory.cc
@@ -25,6 +25,10 @@
             = known != endpoints_.end() ? known->second : std::make_shared<UpstreamEndpoint>();
         if (endpoint->record.address != record.address)
             endpoint->isMisdirected = false;
+        bool hasNewRole = known == endpoints_.end() || endpoint->record.role != record.role;
+        if (hasNewRole)
+            endpoint->prompts.restart(
+                record.role == EngineRole::Decode ? EngineLoad::decoderSlowness : EngineLoad::readerSlowness);
         endpoint->record = record;
         auto region = regions.find(record.availabilityZone);
         endpoint->region = region == regions.end() ? std::string() : region->second;
--- a/ragwortwinch/forward/engine_chooser.cc
+++ b/ragwortwinch/forward/engine_chooser.cc
@@ -76,16 +76,15 @@
     for (const UpstreamPointer& engine : engines) {
         std::int64_t kept = engine.get() == home ? sharedTokens : engine->cache.keptTokens(prompt.parts);
         std::int64_t toRead = std::max<std::int64_t>(0, prompt.promptTokens - kept);
-        double speedPart = engine->record.role == EngineRole::Prefill ? 1 : decodeReadSpeed;
-        double wait = engine->prompts.waitMillis(lane) / speedPart;
-        double read = static_cast<double>(toRead) / (engine->prompts.tokensPerMilli() * speedPart);
         double way = roundTripMillis(distanceOf(query, *engine));
-        double score = wait + read * readWeight + way * wayWeight;
+        double score = engine->prompts.waitMillis(lane) + engine->prompts.tokenMillis(toRead) * readWeight
+            + way * wayWeight;
         if (best && score >= bestScore)
             continue;
         bestScore = score;
-        double total = wait + read + way + handOverMillis;
-        best = EngineChoice{engine, toRead, lane, Millis(static_cast<std::int64_t>(total))};
+        double handOver = engine->record.role == EngineRole::Prefill ? prompt.handOverMillis : 0;
+        double total = engine->prompts.readMillis(lane, toRead, way) + handOver;
+        best = EngineChoice{engine, toRead, way, lane, Millis(static_cast<std::int64_t>(total))};
     }
     return best;
 }
--- a/ragwortwinch/forward/engine_chooser.h
+++ b/ragwortwinch/forward/engine_chooser.h
@@ -29,12 +29,16 @@
     Millis onTimeLimit{0};
     // The first token is of use within this.
     Millis lateLimit{0};
+    // From a prompt that was read to its first token at another engine, as lately seen.
+    double handOverMillis = 0;
 };
 
 struct EngineChoice {
     UpstreamPointer engine;
     // Tokens that it will have to read.
     std::int64_t tokensToRead = 0;
+    // A round trip to it.
+    double wayMillis = 0;
     PromptLane lane = PromptLane::OnTime;
     // From now to the first token, as estimated.
     Millis firstToken{0};
@@ -46,10 +50,6 @@
     static constexpr double readWeight = 3;
     // How often a millisecond of the way counts.
     static constexpr double wayWeight = 0.25;
-    // A part of its speed with which an engine for decode reads prompts itself.
-    static constexpr double decodeReadSpeed = 0.5;
-    // Handing the memory over and making the first token.
-    static constexpr double handOverMillis = 12;
 
     // Returns nothing when no engine can make the first token within the late limit.
     std::optional<EngineChoice> choose(const PlacementQuery& query, const PromptQuery& prompt,
--- a/ragwortwinch/forward/engine_load.h
+++ b/ragwortwinch/forward/engine_load.h
@@ -1,11 +1,15 @@
-// How much work an engine has, and how fast it reads prompts, as far as this VM knows.
+// How much work an engine has, and how long it takes to read prompts, as far as this VM knows.
 //
-//     PromptTicket ticket = load.onSent(tokens, PromptLane::OnTime, now);
-//     load.onRead(ticket, now);                      // its first token is there
-//     load.waitMillis(PromptLane::OnTime);           // how long a prompt that is sent now would wait
+//     PromptTicket ticket = load.onSent(tokens, PromptLane::OnTime, wayMillis, now);
+//     load.onRead(ticket, now);                      // the prompt has been read
+//     load.readMillis(PromptLane::OnTime, tokens, wayMillis);    // how long one that is sent now would take
 //
 // Prompts that can still be on time go before those that will be late: what is late waits for both lanes.
-// The speed is learnt from prompts that waited. Not thread-safe.
+//
+// The time is that of a model, a fixed part and the tokens ahead at a nominal speed, times the engine's
+// slowness: what its prompts took in all against what the model gave for them. Both sums are over the same
+// prompts, so that wrong counts of tokens ahead (what other VMs tell is a heartbeat old) cancel out; the mean
+// of single speeds would be drawn up by prompts whose count is too great. Not thread-safe.
 #pragma once
 
 #include "ragwortwinch/base/time.h"
@@ -31,32 +35,64 @@
     std::int64_t tokens = 0;
     // Tokens that were to be read when it came, its own included.
     std::int64_t ahead = 0;
+    // What the model gave.
+    double modelMillis = 0;
     Instant sentAt;
 };
 
 class EngineLoad {
 public:
-    // Tokens that an engine reads in a millisecond before anything is learnt of it.
-    static constexpr double initialSpeed = 350;
+    // Tokens that the model has an engine read in a millisecond: the order of what a large accelerator does.
+    static constexpr double nominalSpeed = 350;
+    // A prompt takes so long beside its tokens and the way: the batch that runs when it comes, and its own.
+    static constexpr double fixedMillis = 15;
+    // Before anything is learnt, of an engine that only reads, and of one that makes tokens meanwhile (the
+    // platform: half the speed).
+    static constexpr double readerSlowness = 1;
+    static constexpr double decoderSlowness = 2;
 
-    PromptTicket onSent(std::int64_t tokens, PromptLane lane, Instant now);
+    PromptTicket onSent(std::int64_t tokens, PromptLane lane, double wayMillis, Instant now);
     // The prompt has been read.
     void onRead(const PromptTicket& ticket, Instant now);
-    // The prompt was refused, or nothing is known of it.
-    void onDropped(const PromptTicket& ticket);
+    // The prompt was refused or given up. It counts for the slowness if it has taken longer than expected by
+    // then.
+    void onDropped(const PromptTicket& ticket, Instant now);
+    // Forgets what was learnt, since the engine has a new role.
+    void restart(double slowness);
     // What the other VMs have sent there and not had back.
     void setElsewhere(LaneTokens tokens) { elsewhere_ = tokens; }
 
     LaneTokens ownTokens() const { return own_; }
     // Tokens to be read before a prompt that is sent now.
     std::int64_t pendingTokens(PromptLane lane) const { return own_.before(lane) + elsewhere_.before(lane); }
-    double tokensPerMilli() const { return speed_; }
-    double waitMillis(PromptLane lane) const { return static_cast<double>(pendingTokens(lane)) / speed_; }
+    double slowness() const { return actualMillis_ / modelMillis_; }
+    // How long so many tokens take by themselves.
+    double tokenMillis(std::int64_t tokens) const
+    {
+        return static_cast<double>(tokens) / nominalSpeed * slowness();
+    }
+    double waitMillis(PromptLane lane) const { return tokenMillis(pendingTokens(lane)); }
+    // From sending a prompt of so many tokens until it has been read, the way there and back included.
+    double readMillis(PromptLane lane, std::int64_t tokens, double wayMillis) const
+    {
+        return modelFor(pendingTokens(lane) + tokens, wayMillis) * slowness();
+    }
 
 private:
+    // What the sums begin with, in milliseconds of the model: a prompt or two.
+    static constexpr double priorMillis = 100;
+
+    static double modelFor(std::int64_t tokens, double wayMillis)
+    {
+        return fixedMillis + wayMillis + static_cast<double>(tokens) / nominalSpeed;
+    }
+    void learn(const PromptTicket& ticket, double millis);
+
     LaneTokens own_;
     LaneTokens elsewhere_;
-    double speed_ = initialSpeed;
+    // Decaying sums over the prompts that were read.
+    double actualMillis_ = priorMillis * readerSlowness;
+    double modelMillis_ = priorMillis;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -182,7 +182,8 @@
     PromptQuery prompt{request_->caller.promptParts, request_->caller.promptTokens,
         std::min(route_->targetLatency - elapsed, timeLeft()),
         Millis(static_cast<std::int64_t>(
-            static_cast<double>(timeLeft().count()) * context_.options.lateTimePart))};
+            static_cast<double>(timeLeft().count()) * context_.options.lateTimePart)),
+        context_.handOver.millis()};
     std::optional<EngineChoice> choice = EngineChooser().choose(
         makeQuery(), prompt, context_.endpoints.ofService(service_), context_.clock.now());
     if (!choice) {
@@ -193,7 +194,7 @@
     estimate_ = choice->firstToken;
     tokensToRead_ = choice->tokensToRead;
     promptEngine_ = choice->engine->record.id;
-    assumedSpeed_ = choice->engine->prompts.tokensPerMilli();
+    assumedSlowness_ = choice->engine->prompts.slowness();
     if (choice->engine->record.role == EngineRole::Prefill)
         startPrefill(*choice);
     else
@@ -203,7 +204,8 @@
 void Exchange::takeTicket(const EngineChoice& choice)
 {
     ticketEngine_ = choice.engine;
-    ticket_ = choice.engine->prompts.onSent(choice.tokensToRead, choice.lane, context_.clock.now());
+    ticket_ = choice.engine->prompts.onSent(
+        choice.tokensToRead, choice.lane, choice.wayMillis, context_.clock.now());
     tokensAhead_ = ticket_->ahead;
     choice.engine->cache.onRead(request_->caller.promptParts);
 }
@@ -236,7 +238,7 @@
     if (wasRead)
         ticketEngine_->prompts.onRead(*ticket_, context_.clock.now());
     else
-        ticketEngine_->prompts.onDropped(*ticket_);
+        ticketEngine_->prompts.onDropped(*ticket_, context_.clock.now());
     ticket_.reset();
     ticketEngine_.reset();
 }
@@ -327,7 +329,8 @@
         own.team = team_->name;
     if (endpoint->record.role != EngineRole::None) {
         int priority = team_ && team_->priority ? *team_->priority : route_->priority;
-        bool isLongRead = endpoint->record.role == EngineRole::Decode && wantsPrefill() && cacheSource_.empty();
+        bool isLongRead
+            = endpoint->record.role == EngineRole::Decode && wantsPrefill() && cacheSource_.empty();
         if (lane_ == PromptLane::Late)
             priority += latePriority;
         else if (isLongRead)
@@ -383,6 +386,7 @@
     if (isStreamStarted_)
         own.resumeAfter = events_.lastId();
     else if (!cacheSource_.empty()) {
+        hasHandedOver_ = true;
         own.cacheSource = std::move(cacheSource_);
         cacheSource_.clear();
         cacheHolder_.reset();
@@ -444,6 +448,8 @@
     }
     isStreamStarted_ = true;
     firstEventTime_ = context_.clock.now() - startedAt_;
+    if (hasHandedOver_)
+        context_.handOver.onDone(firstEventTime_ - prefillTime_);
     context_.metrics.onFirstByte(route_->name, firstEventTime_);
     sink_->beginStream(replyHead_, std::move(events), std::move(onWritten));
 }
@@ -668,7 +674,7 @@
         .with("prompt_engine", promptEngine_)
         .with("to_read", tokensToRead_)
         .with("ahead", tokensAhead_)
-        .with("speed", assumedSpeed_)
+        .with("slowness", assumedSlowness_)
         .with("late_lane", lane_ == PromptLane::Late)
         .with("estimate_ms", estimate_.count())
         .with("prefill_ms", prefillTime_.count())
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -113,15 +113,16 @@
     bool mayHaveRun_ = false;
     bool isUsageCounted_ = false;
     bool hasPrefilled_ = false;
+    bool hasHandedOver_ = false;
     int refusedPrefills_ = 0;
     PromptLane lane_ = PromptLane::OnTime;
     // Of the chosen engine, for the log.
     Millis estimate_{0};
     std::string promptEngine_;
     std::int64_t tokensToRead_ = 0;
-    // Tokens to be read when it came, its own included, and the speed that the estimate assumed.
+    // Tokens to be read when it came, its own included, and the slowness that the estimate assumed.
     std::int64_t tokensAhead_ = 0;
-    double assumedSpeed_ = 0;
+    double assumedSlowness_ = 0;
     Millis prefillTime_{0};
     Millis firstEventTime_{0};
     // The prompt that an engine is reading, and the engine.
--- a/ragwortwinch/forward/forward_context.h
+++ b/ragwortwinch/forward/forward_context.h
@@ -8,6 +8,7 @@
 #include "ragwortwinch/forward/endpoint_directory.h"
 #include "ragwortwinch/forward/forward_metrics.h"
 #include "ragwortwinch/forward/forward_options.h"
+#include "ragwortwinch/forward/hand_over_time.h"
 #include "ragwortwinch/forward/repeat_budget.h"
 #include "ragwortwinch/forward/request_codec.h"
 #include "ragwortwinch/forward/request_log.h"
@@ -44,6 +45,7 @@
     ChannelPool pool{};
     // Of each service.
     std::map<std::string, RepeatBudget> budgets{};
+    HandOverTime handOver{};
     std::uint64_t requestNumber = 0;
     // While this VM stops: until when it takes any request, and when it ends.
     std::optional<DrainTimes> drain{};
