--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -194,7 +194,7 @@
     estimate_ = choice->firstToken;
     tokensToRead_ = choice->tokensToRead;
     promptEngine_ = choice->engine->record.id;
-    assumedSlowness_ = choice->engine->prompts.slowness();
+    assumedSlowness_ = choice->engine->prompts.slowness(context_.clock.now());
     if (choice->engine->record.role == EngineRole::Prefill)
         startPrefill(*choice);
     else
