--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -71,6 +71,7 @@
                 "no route for this host and path in version {} of the configuration", traffic_->version()));
         return false;
     }
+    deadline_ = startedAt_ + std::min(request_->caller.timeLimit.value_or(route_->timeout), route_->timeout);
     if (traffic_->hasTeams() && !route_->isOpen) {
         team_ = traffic_->findTeam(request_->caller.key);
         if (!team_) {
@@ -85,7 +86,6 @@
         reject(statusBadRequest, ErrorKind::BadRequest, "the request has no id; send one with each try");
         return false;
     }
-    deadline_ = startedAt_ + std::min(request_->caller.timeLimit.value_or(route_->timeout), route_->timeout);
     bool mayOutliveUs
         = context_.drain && startedAt_ >= context_.drain->takeUntil && deadline_ >= context_.drain->end;
     if (mayOutliveUs) {
@@ -194,7 +194,7 @@
     estimate_ = choice->firstToken;
     tokensToRead_ = choice->tokensToRead;
     promptEngine_ = choice->engine->record.id;
-    assumedSlowness_ = choice->engine->prompts.slowness(context_.clock.now());
+    assumedSlowness_ = choice->engine->prompts.slowness();
     if (choice->engine->record.role == EngineRole::Prefill)
         startPrefill(*choice);
     else
@@ -276,7 +276,9 @@
     bool isRepeat = result.end != AttemptEnd::NotConnected;
     if (isRepeat && !context_.budgetOf(service_).tryTake(now)) {
         context_.metrics.onBudgetEmpty(service_);
-        refuse(ErrorKind::NoCapacity, "the engine did not read the prompt; the request was not run");
+        refuse(ErrorKind::NoCapacity,
+            "the engine did not read the prompt and the budget for repeats is empty; the request was not "
+            "run");
         return;
     }
     tried_.push_back(result.endpoint.get());
@@ -604,6 +606,7 @@
 
 void Exchange::sendOwn(int status, ErrorKind kind, const std::string& message, Millis retryAfter)
 {
+    reason_ = message;
     std::string head = internal::ownHead(status, retryAfter);
     context_.codec.appendOwnReply(head, request_->caller.id);
     sink_->sendWhole(std::move(head), internal::errorBody(kind, message), request_->method == "HEAD");
@@ -667,6 +670,7 @@
         .with("config", traffic_ ? traffic_->version() : 0)
         .with("outcome", requestOutcomeNames.name(outcome))
         .with("status", status)
+        .with("reason", reason_)
         .with("endpoint", lastEndpoint_)
         .with("last_attempt", sends_ ? attemptEndNames.name(lastEnd_) : "none")
         .with("sends", sends_)
@@ -680,7 +684,7 @@
         .with("prefill_ms", prefillTime_.count())
         .with("first_ms", firstEventTime_.count())
         .with("events", events_.eventCount())
-        .with("limit_ms", (deadline_ - startedAt_).count())
+        .with("limit_ms", route_ ? (deadline_ - startedAt_).count() : 0)
         .with("ms", duration.count());
 }
 
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -131,6 +131,8 @@
     // Of the last attempt, for the log.
     AttemptEnd lastEnd_ = AttemptEnd::NotConnected;
     std::string lastEndpoint_;
+    // Of an answer of our own.
+    std::string reason_;
 
     int replyStatus_ = 0;
     std::string replyHead_;
