--- /dev/null
+++ b/ragwortwinch/forward/exchange_end.cc
@@ -0,0 +1,126 @@
+// How an exchange ends: the answers of its own, what is freed, counted and logged.
+#include "ragwortwinch/forward/exchange.h"
+
+#include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/forward/internal/http_status.h"
+#include "ragwortwinch/forward/internal/own_reply.h"
+
+namespace ragwortwinch {
+
+namespace {
+
+using internal::isFinalFailure;
+using internal::statusUnavailable;
+
+} // namespace
+
+void Exchange::finishWhole(int status, std::string head, std::string body)
+{
+    context_.metrics.onFirstByte(route_->name, context_.clock.now() - startedAt_);
+    sink_->sendWhole(std::move(head), std::move(body), request_->method == "HEAD");
+    finish(isFinalFailure(status) ? RequestOutcome::EndpointError : RequestOutcome::Answered, status);
+}
+
+void Exchange::refuse(ErrorKind kind, const std::string& message)
+{
+    sendOwn(statusUnavailable, kind, message, context_.options.retryAfter);
+    finish(RequestOutcome::Refused, statusUnavailable);
+}
+
+void Exchange::reject(int status, ErrorKind kind, const std::string& message)
+{
+    sendOwn(status, kind, message, Millis(0));
+    finish(RequestOutcome::Rejected, status);
+}
+
+void Exchange::fail(int status, RequestOutcome outcome, ErrorKind kind, const std::string& message)
+{
+    sendOwn(status, kind, message, Millis(0));
+    finish(outcome, status);
+}
+
+void Exchange::sendOwn(int status, ErrorKind kind, const std::string& message, Millis retryAfter)
+{
+    reason_ = message;
+    std::string head = internal::ownHead(status, retryAfter);
+    context_.codec.appendOwnReply(head, request_->caller.id);
+    sink_->sendWhole(std::move(head), internal::errorBody(kind, message), request_->method == "HEAD");
+}
+
+void Exchange::cancel()
+{
+    if (isDone_)
+        return;
+    sink_ = nullptr;
+    finish(RequestOutcome::CallerGone, 0);
+}
+
+void Exchange::finish(RequestOutcome outcome, int status)
+{
+    if (isDone_)
+        return;
+    isDone_ = true;
+    deadlineTimer_.cancel();
+    if (attempt_)
+        attempt_->cancel();
+    attempt_.reset();
+    if (prefill_)
+        prefill_->cancel();
+    prefill_.reset();
+    closeTicket(false);
+    if (cacheHolder_)
+        freeHandle(context_, cacheHolder_, cacheSource_.substr(cacheSource_.find('/') + 1));
+    cacheHolder_.reset();
+    logEnd(outcome, status);
+    std::function<void()> onDone = std::move(onDone_);
+    onDone_ = nullptr;
+    if (outcome != RequestOutcome::CallerGone && onDone)
+        onDone();
+}
+
+void Exchange::countUsage()
+{
+    if (isUsageCounted_ || !team_)
+        return;
+    isUsageCounted_ = true;
+    UsageFigures figures;
+    figures.requests = 1;
+    figures.promptTokens = request_->caller.promptTokens;
+    context_.usage.add(team_->name, figures, context_.trueUnixMillis());
+}
+
+void Exchange::logEnd(RequestOutcome outcome, int status)
+{
+    Instant now = context_.clock.now();
+    Millis duration = now - startedAt_;
+    std::string route = route_ ? route_->name : "none";
+    context_.metrics.onRequestEnd(route, outcome, duration);
+    bool isGood = outcome == RequestOutcome::Answered;
+    if (isGood ? !context_.log.takesSuccess(request_->caller.id) : !context_.log.takeFailure(now))
+        return;
+    LogEvent("request.end", isGood ? Severity::Info : Severity::Warning)
+        .with("request", request_->caller.id)
+        .with("route", route)
+        .with("team", team_ ? team_->name : "none")
+        .with("config", traffic_ ? traffic_->version() : 0)
+        .with("outcome", requestOutcomeNames.name(outcome))
+        .with("status", status)
+        .with("reason", reason_)
+        .with("endpoint", lastEndpoint_)
+        .with("last_attempt", sends_ ? attemptEndNames.name(lastEnd_) : "none")
+        .with("sends", sends_)
+        .with("prefilled", hasPrefilled_)
+        .with("prompt_engine", promptEngine_)
+        .with("to_read", tokensToRead_)
+        .with("ahead", tokensAhead_)
+        .with("slowness", assumedSlowness_)
+        .with("late_lane", lane_ == PromptLane::Late)
+        .with("estimate_ms", estimate_.count())
+        .with("prefill_ms", prefillTime_.count())
+        .with("first_ms", firstEventTime_.count())
+        .with("events", events_.eventCount())
+        .with("limit_ms", route_ ? (deadline_ - startedAt_).count() : 0)
+        .with("ms", duration.count());
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/exchange_prompt.cc
@@ -0,0 +1,131 @@
+// How an exchange has a long prompt read: by an engine for prefill and then a hand-over, or by the engine
+// that runs it.
+#include "ragwortwinch/forward/exchange.h"
+
+#include "ragwortwinch/base/log_event.h"
+
+#include <algorithm>
+
+namespace ragwortwinch {
+
+bool Exchange::wantsPrefill() const
+{
+    if (!route_->hasPromptCache || !request_->caller.lastEventId.empty())
+        return false;
+    const ServiceRule* service = traffic_->findService(service_);
+    return service && service->engine && request_->caller.promptTokens >= context_.options.minPrefillTokens;
+}
+
+void Exchange::placePrompt()
+{
+    Millis elapsed = context_.clock.now() - startedAt_;
+    PromptQuery prompt{request_->caller.promptParts, request_->caller.promptTokens,
+        std::min(route_->targetLatency - elapsed, timeLeft()),
+        Millis(static_cast<std::int64_t>(
+            static_cast<double>(timeLeft().count()) * context_.options.lateTimePart)),
+        context_.handOver.millis()};
+    std::optional<EngineChoice> choice = EngineChooser().choose(
+        makeQuery(), prompt, context_.endpoints.ofService(service_), context_.clock.now());
+    if (!choice) {
+        refuse(ErrorKind::NoCapacity, "the engines can't read the prompt in time; it was not run");
+        return;
+    }
+    lane_ = choice->lane;
+    estimate_ = choice->firstToken;
+    tokensToRead_ = choice->tokensToRead;
+    promptEngine_ = choice->engine->record.id;
+    assumedSlowness_ = choice->engine->prompts.slowness();
+    if (choice->engine->record.role == EngineRole::Prefill)
+        startPrefill(*choice);
+    else
+        sendPrompt(*choice);
+}
+
+void Exchange::takeTicket(const EngineChoice& choice)
+{
+    ticketEngine_ = choice.engine;
+    ticket_ = choice.engine->prompts.onSent(
+        choice.tokensToRead, choice.lane, choice.wayMillis, context_.clock.now());
+    tokensAhead_ = ticket_->ahead;
+    choice.engine->cache.onRead(request_->caller.promptParts);
+}
+
+void Exchange::sendPrompt(const EngineChoice& choice)
+{
+    takeTicket(choice);
+    send(choice.engine);
+}
+
+void Exchange::startPrefill(const EngineChoice& choice)
+{
+    hasPrefilled_ = true;
+    takeTicket(choice);
+    ForwardedFields own = ownFields(choice.engine);
+    own.isPrefill = true;
+    AttemptOptions options = attemptOptions();
+    // The prompt can be read elsewhere, so a silent engine is left early on any route.
+    options.firstByteTimeout = silenceBound();
+    options.maxIdlePart = ChannelPool::usedIdlePart;
+    prefill_ = std::make_shared<PrefillStep>(context_, choice.engine,
+        [self = shared_from_this()](const PrefillResult& result) { self->onPrefillDone(result); });
+    prefill_->start(makeHead(own), body_, options);
+}
+
+void Exchange::closeTicket(bool wasRead)
+{
+    if (!ticket_)
+        return;
+    if (wasRead)
+        ticketEngine_->prompts.onRead(*ticket_, context_.clock.now());
+    else
+        ticketEngine_->prompts.onDropped(*ticket_, context_.clock.now());
+    ticket_.reset();
+    ticketEngine_.reset();
+}
+
+void Exchange::onPrefillDone(const PrefillResult& result)
+{
+    std::shared_ptr<PrefillStep> step = std::move(prefill_);
+    if (isDone_)
+        return;
+    Instant now = context_.clock.now();
+    closeTicket(!result.handle.empty());
+    prefillTime_ = now - startedAt_;
+    context_.metrics.onAttemptEnd(service_, result.end);
+    if (!result.handle.empty()) {
+        result.endpoint->outcomes.onSuccess(now);
+        cacheSource_ = result.endpoint->record.address.text() + "/" + result.handle;
+        cacheHolder_ = result.endpoint;
+        place();
+        return;
+    }
+    if (result.end == AttemptEnd::Misdirected)
+        result.endpoint->isMisdirected = true;
+    else if (result.end == AttemptEnd::NotConnected)
+        result.endpoint->outcomes.onUnreachable(now);
+    else if (result.end == AttemptEnd::NotExecuted)
+        result.endpoint->outcomes.onRefused(now);
+    else
+        result.endpoint->outcomes.onFailure(now);
+    if (context_.log.takeFailure(now))
+        LogEvent("request.prefill_failed", Severity::Warning)
+            .with("request", request_->caller.id)
+            .with("endpoint", result.endpoint->record.id)
+            .with("end", attemptEndNames.name(result.end));
+    // An engine that refused has had the request; the next one is a repeat. Nothing has run in any case.
+    bool isRepeat = result.end != AttemptEnd::NotConnected;
+    if (isRepeat && !context_.budgetOf(service_).tryTake(now)) {
+        context_.metrics.onBudgetEmpty(service_);
+        refuse(ErrorKind::NoCapacity,
+            "the engine did not read the prompt and the budget for repeats is empty; the request was not "
+            "run");
+        return;
+    }
+    tried_.push_back(result.endpoint.get());
+    if (result.end == AttemptEnd::NotExecuted && ++refusedPrefills_ < context_.options.maxPrefills)
+        placePrompt();
+    else
+        place();
+}
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/forward/internal/http_status.h
@@ -0,0 +1,18 @@
+// The status codes of HTTP that the forwarding path gives or looks at.
+#pragma once
+
+namespace ragwortwinch::internal {
+
+inline constexpr int statusOk = 200;
+inline constexpr int statusBadRequest = 400;
+inline constexpr int statusUnauthorized = 401;
+inline constexpr int statusNotFound = 404;
+inline constexpr int statusServerError = 500;
+inline constexpr int statusBadGateway = 502;
+inline constexpr int statusUnavailable = 503;
+inline constexpr int statusTimeout = 504;
+
+// Whether an endpoint says that it failed.
+inline bool isFinalFailure(int status) { return status >= statusServerError; }
+
+} // namespace ragwortwinch::internal
