--- a/ragwortwinch/fleet/planner_test.cc
+++ b/ragwortwinch/fleet/planner_test.cc
@@ -58,7 +58,8 @@
     CHECK(orders[0].count == 5);
 }
 
-TEST_CASE("a count that has changed is ordered at once, and only a repeat waits for the endpoints of the order before")
+TEST_CASE("a count that has changed is ordered at once, and only a repeat waits for the endpoints of the "
+          "order before")
 {
     CountPlanner planner;
     std::vector<EndpointRecord> records = threeRegular();
--- a/ragwortwinch/net/internal/peer_watch.h
+++ b/ragwortwinch/net/internal/peer_watch.h
@@ -31,10 +31,10 @@
     class Scope {
     public:
         explicit Scope(std::shared_ptr<PeerWatch> watch)
-            : previous_(std::exchange(current_, std::move(watch)))
+            : previous_(std::exchange(slot(), std::move(watch)))
         {
         }
-        ~Scope() { current_ = std::move(previous_); }
+        ~Scope() { slot() = std::move(previous_); }
         Scope(const Scope&) = delete;
         Scope& operator=(const Scope&) = delete;
 
@@ -43,7 +43,7 @@
     };
 
     // Null outside a socket's handler.
-    static std::shared_ptr<PeerWatch> current() { return current_; }
+    static std::shared_ptr<PeerWatch> current() { return slot(); }
 
     // Calls `onGone` once if the peer closes; a later start replaces it.
     void start(OnGone onGone)
@@ -87,7 +87,12 @@
         return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     }
 
-    static inline thread_local std::shared_ptr<PeerWatch> current_;
+    // The watch that is current on this thread.
+    static std::shared_ptr<PeerWatch>& slot()
+    {
+        static thread_local std::shared_ptr<PeerWatch> watch;
+        return watch;
+    }
 
     std::mutex mutex_;
     asio::ip::tcp::socket* socket_;
