Watch a caller again when its request overtook the former watch, and tear down in order

Causes, both traced. (1) A server's pending handlers hold connections, which count down in RESTinio's limiter when they are destroyed; the limiter went first (address sanitizer: use after free in decrement_parallel_connections, from ~io_context). (2) When the handler that read the next request ran before the handler of the former wait, start() saw a wait under way, and that one then ended without a new one: the caller's close went unnoticed. A fault of PeerWatch. Change: the server shuts its context down before its limiter goes; a wait that finds nothing to read waits again; responders are gone before the server.

--- a/ragwortwinch/net/http_server.h
+++ b/ragwortwinch/net/http_server.h
@@ -46,7 +46,7 @@
     virtual void handle(HttpRequest, std::shared_ptr<HttpResponder>) = 0;
 };
 
-// A running server; stops when destroyed.
+// A running server; stops when destroyed. Responders hold parts of it and must be gone by then.
 class HttpServer {
 public:
     virtual ~HttpServer() = default;
--- a/ragwortwinch/net/http_server_test.cc
+++ b/ragwortwinch/net/http_server_test.cc
@@ -31,6 +31,13 @@
         return responders_.at(index);
     }
     int closed() const { return closed_.load(); }
+    // Lets go of the responders; what is unanswered gets the server's own answer.
+    void release()
+    {
+        std::vector<std::shared_ptr<HttpResponder>> responders;
+        std::lock_guard<std::mutex> lock(mutex_);
+        responders.swap(responders_);
+    }
 
 private:
     mutable std::mutex mutex_;
@@ -45,6 +52,7 @@
     {
         REQUIRE(server);
     }
+    ~RunningServer() { handler->release(); }
 
     RawSocket ask(const std::string& path = "/")
     {
--- a/ragwortwinch/net/internal/peer_watch.h
+++ b/ragwortwinch/net/internal/peer_watch.h
@@ -50,12 +50,8 @@
     {
         std::lock_guard<std::mutex> lock(mutex_);
         onGone_ = std::move(onGone);
-        if (isWaiting_ || !socket_)
-            return;
-        isWaiting_ = true;
-        socket_->async_wait(asio::ip::tcp::socket::wait_read,
-            asio::bind_executor(executor_,
-                [self = shared_from_this()](const asio::error_code& error) { self->onReadable(error); }));
+        if (!isWaiting_ && socket_)
+            wait();
     }
 
     // The socket is destroyed or moved away.
@@ -66,13 +62,31 @@
     }
 
 private:
+    enum class Peek { Closed, Bytes, Nothing };
+
+    // Holds the lock.
+    void wait()
+    {
+        isWaiting_ = true;
+        socket_->async_wait(asio::ip::tcp::socket::wait_read,
+            asio::bind_executor(executor_,
+                [self = shared_from_this()](const asio::error_code& error) { self->onReadable(error); }));
+    }
+
     void onReadable(const asio::error_code& error)
     {
         OnGone onGone;
         {
             std::lock_guard<std::mutex> lock(mutex_);
             isWaiting_ = false;
-            if (error || !socket_ || !isClosedByPeer())
+            if (error || !socket_)
+                return;
+            Peek peek = peekAtSocket();
+            // The reader has taken the bytes already, and a request that they brought may have been started
+            // before this handler ran.
+            if (peek == Peek::Nothing)
+                wait();
+            if (peek != Peek::Closed)
                 return;
             onGone = std::exchange(onGone_, nullptr);
         }
@@ -80,11 +94,14 @@
             onGone();
     }
 
-    bool isClosedByPeer() const
+    Peek peekAtSocket() const
     {
         char byte = 0;
         ssize_t size = ::recv(socket_->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+        if (size > 0)
+            return Peek::Bytes;
+        bool isIdle = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+        return isIdle ? Peek::Nothing : Peek::Closed;
     }
 
     // The watch that is current on this thread.
--- a/ragwortwinch/net/restinio_http_server.cc
+++ b/ragwortwinch/net/restinio_http_server.cc
@@ -195,6 +195,12 @@
     return request;
 }
 
+// Lets its owner destroy pending handlers while the objects that they refer to still exist.
+class OwnedContext : public asio::io_context {
+public:
+    using asio::execution_context::shutdown;
+};
+
 class RestinioHttpServer final : public HttpServer {
 public:
     using Server = restinio::http_server_t<ServerTraits>;
@@ -217,6 +223,8 @@
         });
         for (std::thread& thread : threads_)
             thread.join();
+        // Connections in pending handlers count down in the server's limiter when they are destroyed.
+        context_.shutdown();
     }
 
     std::uint16_t port() const override { return port_; }
@@ -254,7 +262,7 @@
         return settings;
     }
 
-    asio::io_context context_;
+    OwnedContext context_;
     std::uint16_t port_ = 0;
     std::shared_ptr<HttpHandler> handler_;
     Server server_;
