--- /dev/null
+++ b/ragwortwinch/node/gateway_news.cc
@@ -0,0 +1,117 @@
+// What a node in gateway mode learns from the store: endpoints, VMs and the configuration.
+#include "platform/store_values.h"
+#include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/node/gateway_node.h"
+
+namespace ragwortwinch {
+
+void GatewayNode::tickStore(Instant now)
+{
+    runner_.run(follower_.tick(now),
+        [this](Instant at, const StoreAnswer& answer) { return follower_.onAnswer(at, answer); });
+    if (std::optional<WatchRequest> watch = follower_.takeWatch(now)) {
+        ++storeCalls_;
+        store_->watch(watch->prefix, watch->afterRevision, watch->wait, [this](WatchAnswer answer) {
+            asio::post(context_, [this, answer = std::move(answer)] {
+                follower_.onWatchAnswer(clock_.now(), answer);
+                tickStore(clock_.now());
+            });
+        });
+    }
+    for (const FollowerNews& news : follower_.takeNews())
+        onNews(now, news);
+    if (endpoints_.tick(now)) {
+        forward_->setEndpoints(endpoints_.records(), settings_.regions);
+        duties_->setEndpoints(endpoints_.records());
+    }
+}
+
+void GatewayNode::onNews(Instant now, const FollowerNews& news)
+{
+    switch (news.kind) {
+    case FollowerNews::Kind::StoreLost:
+        endpoints_.onStoreLost();
+        return;
+    case FollowerNews::Kind::StoreRegained:
+        endpoints_.onStoreRegained(now);
+        return;
+    case FollowerNews::Kind::List:
+        if (news.prefix == vmKeyPrefix)
+            onVmList(now, news.entries);
+        else if (news.prefix == platform::endpointKeyPrefix()) {
+            std::vector<EndpointRecord> records;
+            for (const StoreEntry& entry : news.entries) {
+                if (std::optional<EndpointRecord> record = platform::decodeEndpoint(entry.key, entry.value))
+                    records.push_back(std::move(*record));
+            }
+            endpoints_.onList(now, records);
+        } else {
+            for (const StoreEntry& entry : news.entries) {
+                if (entry.key == platform::configurationKey())
+                    adoptConfig(entry.value, "store");
+            }
+        }
+        return;
+    case FollowerNews::Kind::Change:
+        break;
+    }
+    const StoreEvent& event = news.event;
+    if (event.key == platform::configurationKey()) {
+        if (!event.isRemoval)
+            adoptConfig(event.value, "store");
+    } else if (event.key.starts_with(vmKeyPrefix)) {
+        std::string name = event.key.substr(std::string_view(vmKeyPrefix).size());
+        if (event.isRemoval)
+            listedVms_.erase(name);
+        else if (std::optional<VmInfo> vm = decodeVmEntry(event.value))
+            listedVms_[name] = *vm;
+    } else if (event.isRemoval)
+        endpoints_.onRemoved(now, event.key.substr(platform::endpointKeyPrefix().size()));
+    else
+        onEndpointEntry(now, event.key, event.value);
+}
+
+void GatewayNode::onVmList(Instant, const std::vector<StoreEntry>& entries)
+{
+    listedVms_.clear();
+    for (const StoreEntry& entry : entries) {
+        if (std::optional<VmInfo> vm = decodeVmEntry(entry.value))
+            listedVms_[vm->name] = *vm;
+    }
+}
+
+void GatewayNode::onEndpointEntry(Instant now, const std::string& key, const std::string& value)
+{
+    if (std::optional<EndpointRecord> record = platform::decodeEndpoint(key, value))
+        endpoints_.onPut(now, *record);
+    else
+        LogEvent("endpoint.unreadable_entry", Severity::Warning).with("key", key).with("bytes", value.size());
+}
+
+void GatewayNode::adoptConfig(const std::string& text, const std::string& source)
+{
+    std::optional<TrafficConfig> config = platform::decodeTrafficConfig(text);
+    if (!config) {
+        LogEvent("config.unreadable", Severity::Error)
+            .with("source", source)
+            .with("bytes", text.size())
+            .with("in_force", configVersion_);
+        return;
+    }
+    if (config->version <= configVersion_)
+        return;
+    LogEvent("config.adopted")
+        .with("version", config->version)
+        .with("previous", configVersion_)
+        .with("source", source)
+        .with("routes", config->routes.size())
+        .with("services", config->services.size())
+        .with("teams", config->teams.size());
+    configVersion_ = config->version;
+    configText_ = text;
+    duties_->setServices(config->services);
+    std::shared_ptr<const TrafficTable> table = std::make_shared<TrafficTable>(std::move(*config));
+    traffic_.replace(std::make_unique<std::shared_ptr<const TrafficTable>>(std::move(table)));
+}
+
+} // namespace ragwortwinch
--- a/ragwortwinch/store/http_key_value_store.cc
+++ b/ragwortwinch/store/http_key_value_store.cc
@@ -1,6 +1,7 @@
 #include "ragwortwinch/store/key_value_store.h"
 
 #include "ragwortwinch/base/json.h"
+#include "ragwortwinch/store/call_status.h"
 
 #include <fmt/format.h>
 
@@ -14,12 +15,8 @@
 
 StoreStatus statusOf(const HttpCallResult& result)
 {
-    if (result.end == CallEnd::NotConnected)
-        return StoreStatus::Unavailable;
-    if (result.end != CallEnd::Complete)
-        return StoreStatus::Unknown;
-    if (result.isOk())
-        return StoreStatus::Ok;
+    if (std::optional<StoreStatus> known = statusOfCallEnd(result))
+        return *known;
     switch (result.status) {
     case statusNotFound:
         return StoreStatus::NotFound;
