Stop listening, and count from the accept, before a stopping VM ends

Cause: tickDrain on the control thread read sessionsWithRequests(), which the forwarding thread renews every 100 ms, and ended the process at 0 while the forwarding thread still listened, accepted and passed on.

Now the forwarding thread decides: closeListener() accepts what the kernel has queued and closes the listening socket; isDrained() is true once no accept is pending and the last session has ended. A new connection keeps 250 ms for its first request, and an idle one whose next request is in the socket is read, not reset. Requests read meanwhile are served if their deadline is before the stop's bound and refused as not run otherwise, as before: refusing all of them would cost callers a retry for an answer that this VM can still give.

Ruled out: the stop's bound (node.stopped came 2.3 s after the signal, far below 7 s) and the flush of usage.

RawSocket::readToEnd now reports whether the peer has closed, where a time-out passed for it, so that CHECK(hasClosed) checks it.

--- a/ragwortwinch/forward/caller_session.cc
+++ b/ragwortwinch/forward/caller_session.cc
@@ -58,6 +58,7 @@
 void CallerSession::waitForRequest()
 {
     state_ = State::Idle;
+    idleSince_ = context_.clock.now();
     request_.reset();
     parser_.reset();
     if (buffer_.size() != 0) {
@@ -91,18 +92,24 @@
             readRequest();
         return;
     }
-    char byte = 0;
-    ssize_t size = error ? -1 : recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    bool isOpen = size > 0 || (size < 0 && !error && (errno == EAGAIN || errno == EWOULDBLOCK));
-    if (!isOpen) {
+    Input input = error ? Input::Ended : peekInput();
+    if (input == Input::Ended)
         onCallerGone();
-        return;
-    }
     // Bytes of a pipelined request are read later; watching now would report them again at once.
-    if (size < 0)
+    if (input == Input::None)
         watch();
 }
 
+CallerSession::Input CallerSession::peekInput()
+{
+    char byte = 0;
+    ssize_t size = recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size > 0)
+        return Input::Bytes;
+    bool isOpen = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return isOpen ? Input::None : Input::Ended;
+}
+
 void CallerSession::onCallerGone()
 {
     if (exchange_)
@@ -354,9 +361,10 @@
     (*discardMore)();
 }
 
-void CallerSession::closeIfIdle()
+void CallerSession::closeIfIdle(Millis minIdle)
 {
-    if (state_ == State::Idle)
+    bool isIdleLongEnough = state_ == State::Idle && context_.clock.now() - idleSince_ >= minIdle;
+    if (isIdleLongEnough && peekInput() != Input::Bytes)
         close();
 }
 
--- a/ragwortwinch/forward/caller_session.h
+++ b/ragwortwinch/forward/caller_session.h
@@ -38,8 +38,8 @@
     ~CallerSession() override;
 
     void start();
-    // Closes the connection if no request is in progress.
-    void closeIfIdle();
+    // Closes the connection if it has waited for a request for at least `minIdle` and has no unread bytes.
+    void closeIfIdle(Millis minIdle);
     bool isIdle() const { return state_ == State::Idle; }
 
 private:
@@ -75,6 +75,9 @@
     std::string inputProblem() const;
     void run();
     void onCallerGone();
+    // What the socket has for the next read, without waiting.
+    enum class Input { None, Bytes, Ended };
+    Input peekInput();
     // Replaces the current timeout; zero only cancels it.
     void armTimer(Millis timeout, std::function<void()> onExpired);
     std::string connectionField() const;
@@ -92,6 +95,7 @@
     boost::beast::flat_buffer buffer_;
     std::optional<Parser> parser_;
     State state_ = State::Idle;
+    Instant idleSince_;
     bool isWatching_ = false;
     std::shared_ptr<ForwardRequest> request_;
     std::shared_ptr<Exchange> exchange_;
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -63,31 +63,49 @@
 
 void ForwardServer::accept()
 {
+    if (!acceptor_.is_open())
+        return;
+    isAccepting_ = true;
     acceptor_.async_accept(
         [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
-            if (error == boost::asio::error::operation_aborted)
-                return;
-            if (error) {
+            isAccepting_ = false;
+            if (error && error != boost::asio::error::operation_aborted) {
                 LogEvent("callers.accept_failed", Severity::Warning).with("problem", error.message());
                 acceptTimer_.expires_after(acceptPause);
                 acceptTimer_.async_wait([this](const boost::system::error_code&) { accept(); });
                 return;
             }
-            if (sessions_.size() >= options_.maxSessions) {
-                LogEvent("callers.too_many", Severity::Warning).with("connections", sessions_.size());
-                boost::system::error_code ignored;
-                socket.close(ignored);
-            } else {
-                std::shared_ptr<CallerSession> session = std::make_shared<CallerSession>(
-                    context_, static_cast<SessionOwner&>(*this), std::move(socket));
-                sessions_.insert(session);
-                session->start();
-            }
+            if (!error)
+                addSession(std::move(socket));
+            updateDrained();
             accept();
         });
 }
 
-void ForwardServer::onSessionEnd(const std::shared_ptr<CallerSession>& session) { sessions_.erase(session); }
+void ForwardServer::addSession(boost::asio::ip::tcp::socket socket)
+{
+    if (sessions_.size() >= options_.maxSessions) {
+        LogEvent("callers.too_many", Severity::Warning).with("connections", sessions_.size());
+        boost::system::error_code ignored;
+        socket.close(ignored);
+        return;
+    }
+    std::shared_ptr<CallerSession> session
+        = std::make_shared<CallerSession>(context_, static_cast<SessionOwner&>(*this), std::move(socket));
+    sessions_.insert(session);
+    session->start();
+}
+
+void ForwardServer::onSessionEnd(const std::shared_ptr<CallerSession>& session)
+{
+    sessions_.erase(session);
+    updateDrained();
+}
+
+void ForwardServer::updateDrained()
+{
+    isDrained_.store(!acceptor_.is_open() && !isAccepting_ && sessions_.empty());
+}
 
 bool ForwardServer::reserve(std::size_t bytes)
 {
@@ -154,12 +172,37 @@
     });
 }
 
-void ForwardServer::closeIdleSessions()
+void ForwardServer::closeListener()
 {
     boost::asio::post(io_, [this] {
+        if (!acceptor_.is_open())
+            return;
+        boost::system::error_code error;
+        acceptor_.non_blocking(true, error);
+        std::size_t queued = 0;
+        while (!error) {
+            boost::asio::ip::tcp::socket socket(io_);
+            acceptor_.accept(socket, error);
+            if (!error) {
+                ++queued;
+                addSession(std::move(socket));
+            }
+        }
+        boost::system::error_code closeError;
+        acceptor_.close(closeError);
+        LogEvent("callers.listener_closed")
+            .with("queued_connections", queued)
+            .with("connections", sessions_.size());
+        updateDrained();
+    });
+}
+
+void ForwardServer::closeIdleSessions(Millis minIdle)
+{
+    boost::asio::post(io_, [this, minIdle] {
         std::set<std::shared_ptr<CallerSession>> sessions = sessions_;
         for (const std::shared_ptr<CallerSession>& session : sessions)
-            session->closeIfIdle();
+            session->closeIfIdle(minIdle);
     });
 }
 
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -5,6 +5,8 @@
 //     server.run();                              // on the forwarding thread
 //     server.setEndpoints(records, regions);     // any thread
 //     server.beginDrain(end);                    // any thread
+//     server.closeListener();                    // any thread, after callers have newer addresses
+//     while (!server.isDrained()) ...            // any thread
 //
 // `listen` is called before `run`. All other public functions except `run` may be called from any thread.
 #pragma once
@@ -49,8 +51,13 @@
     // From now on each reply closes its connection. After `ForwardOptions::drainGrace`, requests whose
     // deadline isn't before `end` are refused.
     void beginDrain(Instant end);
-    // Closes connections that have no request in progress.
-    void closeIdleSessions();
+    // Accepts the connections that the kernel has queued, then stops listening. After `beginDrain`, each
+    // connection that is left serves at most one more request, so the server ends up without any.
+    void closeListener();
+    // Closes connections that have waited for a request for at least `minIdle` and have no unread bytes.
+    void closeIdleSessions(Millis minIdle);
+    // True once the listener is closed and the last connection has ended: no request can be read any more.
+    bool isDrained() const { return isDrained_.load(); }
     // Number of connections with a request in progress or being closed; updated every 100 ms.
     std::size_t sessionsWithRequests() const { return sessionsWithRequests_.load(); }
 
@@ -61,6 +68,8 @@
     bool isDraining() const override { return isDraining_.load(std::memory_order_relaxed); }
 
     void accept();
+    void addSession(boost::asio::ip::tcp::socket socket);
+    void updateDrained();
     void scheduleSweep();
     void sweep();
 
@@ -74,9 +83,12 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer sweepTimer_;
     boost::asio::steady_timer acceptTimer_;
+    // True while an accept is pending or its handler has not run yet.
+    bool isAccepting_ = false;
     std::set<std::shared_ptr<CallerSession>> sessions_;
     std::size_t bufferedBytes_ = 0;
     std::atomic<bool> isDraining_{false};
+    std::atomic<bool> isDrained_{false};
     std::atomic<std::size_t> sessionsWithRequests_{0};
     mutable std::mutex workMutex_;
     std::map<std::string, EndpointWork> work_;
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -25,6 +25,9 @@
 // of seed peers, plus this many that may have been replaced within the budget's window.
 constexpr std::size_t replacedVmAllowance = 2;
 constexpr Millis configRequestInterval{300};
+// A stopping VM keeps a new connection open for this long, so that its first request can arrive. Covers a
+// round trip between regions.
+constexpr Millis firstRequestWait{250};
 // For the readiness, directory and operators' ports.
 constexpr std::size_t maxAuxiliaryConnections = 400;
 
@@ -340,10 +343,10 @@
     Instant lastAnswerExpiry = drainStart_ + settings_.answerValidity + settings_.heartbeatInterval;
     if (now < lastAnswerExpiry)
         return;
-    forward_->closeIdleSessions();
+    forward_->closeListener();
+    forward_->closeIdleSessions(firstRequestWait);
     flusher_.flushSoon();
-    bool isFinished = forward_->sessionsWithRequests() == 0 && duties_->isReleased()
-        && flusher_.hasFlushed(usage_.totals());
+    bool isFinished = forward_->isDrained() && duties_->isReleased() && flusher_.hasFlushed(usage_.totals());
     if (!isFinished && now < drainStart_ + settings_.stopBound)
         return;
     LogEvent("node.stopped")
--- a/testing/forward/fake_endpoint.h
+++ b/testing/forward/fake_endpoint.h
@@ -78,11 +78,7 @@
             std::string request = socket.readMessage(100);
             if (request.empty()) {
                 bool hasClosed = false;
-                pollfd ready{-1, 0, 0};
-                poll(&ready, 0, 0);
-                // `hasClosed` is usually true for an idle connection too, since the wait of 1 ms is rounded
-                // down to 0.
-                std::string rest = socket.readToEnd(hasClosed, 1);
+                socket.readToEnd(hasClosed, 1);
                 if (hasClosed)
                     return;
                 continue;
--- a/testing/forward/raw_socket.h
+++ b/testing/forward/raw_socket.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <chrono>
 #include <cstdint>
 #include <netinet/in.h>
@@ -28,6 +29,7 @@
     RawSocket(RawSocket&& other) noexcept
         : descriptor_(std::exchange(other.descriptor_, -1))
         , received_(std::move(other.received_))
+        , hasEnded_(other.hasEnded_)
     {
     }
     RawSocket& operator=(RawSocket&& other) noexcept
@@ -35,6 +37,7 @@
         close();
         descriptor_ = std::exchange(other.descriptor_, -1);
         received_ = std::move(other.received_);
+        hasEnded_ = other.hasEnded_;
         return *this;
     }
     ~RawSocket() { close(); }
@@ -86,15 +89,14 @@
         }
     }
 
-    // Reads until the peer closes the connection or the time is up; sets `hasClosed` to whether that took
-    // less than `millis`. As waits are rounded down to whole milliseconds, it can be true on an open
-    // connection.
+    // Reads until the peer closes or resets the connection or the time is up; sets `hasClosed` to whether it
+    // has closed or reset it.
     std::string readToEnd(bool& hasClosed, int millis = 3000)
     {
         std::chrono::steady_clock::time_point end
             = std::chrono::steady_clock::now() + std::chrono::milliseconds(millis);
         while (readMore(end)) { }
-        hasClosed = std::chrono::steady_clock::now() < end;
+        hasClosed = hasEnded_;
         return std::exchange(received_, {});
     }
 
@@ -119,18 +121,23 @@
         auto left
             = std::chrono::duration_cast<std::chrono::milliseconds>(end - std::chrono::steady_clock::now());
         pollfd ready{descriptor_, POLLIN, 0};
-        if (left.count() <= 0 || poll(&ready, 1, static_cast<int>(left.count())) <= 0)
+        // Rounds up, so that the last fraction of a millisecond is waited for too.
+        if (left.count() < 0 || poll(&ready, 1, static_cast<int>(left.count()) + 1) <= 0)
             return false;
         char buffer[16384];
         ssize_t size = recv(descriptor_, buffer, sizeof(buffer), 0);
-        if (size <= 0)
+        if (size <= 0) {
+            hasEnded_ = size == 0 || (errno != EINTR && errno != EAGAIN);
             return false;
+        }
         received_.append(buffer, static_cast<std::size_t>(size));
         return true;
     }
 
     int descriptor_;
     std::string received_;
+    // The peer has closed or reset the connection.
+    bool hasEnded_ = false;
 };
 
 } // namespace ragwortwinch::testing
