--- a/ragwortwinch/fleet/order_sender_test.cc
+++ b/ragwortwinch/fleet/order_sender_test.cc
@@ -1,6 +1,7 @@
 #include "ragwortwinch/fleet/order_sender.h"
 
 #include "ragwortwinch/base/mechanism.h"
+#include "testing/process/process_group.h"
 
 #include <arpa/inet.h>
 #include <csignal>
@@ -38,6 +39,7 @@
 // Runs in a child process, which stops itself between its check of the lease and its send.
 void stopBeforeSend(std::uint16_t port)
 {
+    process::enterOwnProcessGroup();
     OrderSender sender(sendBound);
     sender.setPausePoint([] { raise(SIGSTOP); });
     std::promise<SendOutcome> outcome;
@@ -66,6 +68,7 @@
     std::this_thread::sleep_for(leaseRemaining + Millis(10));
     kill(child, SIGCONT);
     waitpid(child, &status, 0);
+    REQUIRE_MESSAGE((WIFEXITED(status) && WEXITSTATUS(status) == 0), "status ", status);
     timeval wait{0, 1000};
     setsockopt(listener, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof(wait));
     int accepted = accept(listener, nullptr, nullptr);
--- a/ragwortwinch/lease/lease_expiry_guard_test.cc
+++ b/ragwortwinch/lease/lease_expiry_guard_test.cc
@@ -1,10 +1,13 @@
 #include "ragwortwinch/lease/lease_expiry_guard.h"
 
+#include "testing/process/process_group.h"
+
 #include <arpa/inet.h>
 #include <cerrno>
 #include <csignal>
 #include <cstring>
 #include <doctest/doctest.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <optional>
 #include <sys/socket.h>
@@ -99,6 +102,7 @@
 // Runs in a child process: checks its authority, is stopped, and sends after it is continued.
 void sendAfterPause(in_port_t port, Guard guardMode, PausePoint pausePoint, int reportPipe)
 {
+    process::enterOwnProcessGroup();
     SystemClock clock;
     LeaseExpiryGuard guard;
     SenderReport report;
@@ -229,14 +233,77 @@
     return count;
 }
 
-// Run as the CTest test lease_late_order.
-TEST_SUITE("late_order")
+TEST_CASE("without the guard an order of a stopped holder arrives late")
 {
-    TEST_CASE("without the guard an order of a stopped holder arrives late")
-    {
-        CHECK(countLateOrders(Guard::Off, PausePoint::BeforeSend, 20) == 20);
-        CHECK(countLateOrders(Guard::Off, PausePoint::BeforeConnect, 20) == 20);
+    CHECK(countLateOrders(Guard::Off, PausePoint::BeforeSend, 20) == 20);
+    CHECK(countLateOrders(Guard::Off, PausePoint::BeforeConnect, 20) == 20);
+}
+
+// Runs `command` in a process group that becomes orphaned while `command` runs: as the job of a shell that
+// ends meanwhile. Returns what `command` returns, or -1.
+template <typename Command> int runAsOrphanedJob(Command command)
+{
+    int result[2];
+    requireSuccess("pipe", errorOf(pipe(result)));
+    pid_t shell = fork();
+    if (shell == 0) {
+        setsid();
+        pid_t job = fork();
+        if (job == 0) {
+            setpgid(0, 0);
+            int code = command();
+            _exit(write(result[1], &code, sizeof(code)) == sizeof(code) ? 0 : 1);
+        }
+        // The sender of the job stops within this time, and is continued after it.
+        std::this_thread::sleep_for(authorityDuration);
+        _exit(0);
     }
+    requireSuccess("fork", errorOf(shell));
+    close(result[1]);
+    int code = -1;
+    bool hasCode = read(result[0], &code, sizeof(code)) == sizeof(code);
+    close(result[0]);
+    waitpid(shell, nullptr, 0);
+    return hasCode ? code : -1;
+}
+
+TEST_CASE("a stopped sender outlives the shell that started its test")
+{
+    constexpr int exitedNormally = 0;
+    Listener listener;
+    int nullDescriptor = open("/dev/null", O_WRONLY);
+    int code = runAsOrphanedJob([&] {
+        pid_t child = fork();
+        if (child == 0)
+            sendAfterPause(listener.port, Guard::Off, PausePoint::BeforeSend, nullDescriptor);
+        int status = 0;
+        waitpid(child, &status, WUNTRACED);
+        std::this_thread::sleep_for(authorityDuration * 3);
+        kill(child, SIGCONT);
+        waitpid(child, &status, 0);
+        return WIFEXITED(status) && WEXITSTATUS(status) == 0 ? exitedNormally : status;
+    });
+    CHECK(code == exitedNormally);
+    close(nullDescriptor);
+}
+
+// Processes of other tests dial peers that have ended, whose port the kernel may have given to the listener.
+TEST_CASE("an order is found behind connections of other processes")
+{
+    Listener listener;
+    int foreign = socket(AF_INET, SOCK_STREAM, 0);
+    requireSuccess("foreign: connect", connectTo(foreign, listener.port));
+    int sender = socket(AF_INET, SOCK_STREAM, 0);
+    SenderReport report;
+    report.openError = errorOf(sender);
+    requireSuccess("sender: bind", bindTo(sender, 0));
+    report.port = localPort(sender);
+    report.connectError = connectTo(sender, listener.port);
+    report.sendError = errorOf(send(sender, "order", 5, MSG_NOSIGNAL));
+    close(sender);
+    close(foreign);
+    CHECK(readsOrder(listener, report));
+    CHECK(report.sendError == 0);
 }
 
 TEST_CASE("with the guard no order of a stopped holder arrives late")
--- a/testing/process/child_process.cc
+++ b/testing/process/child_process.cc
@@ -1,5 +1,7 @@
 #include "testing/process/child_process.h"
 
+#include "testing/process/process_group.h"
+
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
@@ -22,6 +24,7 @@
     argv.push_back(nullptr);
     pid_ = fork();
     if (pid_ == 0) {
+        enterOwnProcessGroup();
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(pipes[1], STDOUT_FILENO);
         if (!std::getenv("RAGWORTWINCH_TEST_LOGS"))
