Divide the retry budget's slack by the number of VMs, not of seeds

Cause: settings name at most three seeds, so each VM took 1/8 of the slack whatever the size of the fleet. On the deployment with 195 VMs the parts added up to 24 times the allowance, with 87 VMs to 11 times.

SharedLimit gives a part by the greatest number of VMs known within the budget's window (the store's list and the peers that are heard), and none to a process in its first window, as an earlier process of that VM may have spent it. A VM that has lost contact keeps dividing by what it knew. The part is logged (retry_budget.part_changed) and shown in `dump` (retry_slack).

Tests: parts of 6, 200 and 1,000 VMs that start, restart, leave and hear late of one another, each spending all it can, stay within the whole; red without the first window (6,144 of 4,000) and without the greatest count (28 of 24).

Not built: lending of unused parts. With a part below one retry a VM uses none of the slack, only what its requests earn.

--- a/ragwortwinch/forward/forward_context.h
+++ b/ragwortwinch/forward/forward_context.h
@@ -46,6 +46,8 @@
     ForwardMetrics& metrics;
     RequestLog& log;
     ChannelPool pool{};
+    // Of each service.
+    RetryBudgetOptions retryBudget = options.retryBudget;
     // By service.
     std::map<std::string, WindowedRetryBudget> retryBudgets{};
     KvTransferTime kvTransfer{};
@@ -56,7 +58,7 @@
 
     WindowedRetryBudget& retryBudgetOf(const std::string& service)
     {
-        return retryBudgets.try_emplace(service, options.retryBudget).first->second;
+        return retryBudgets.try_emplace(service, retryBudget).first->second;
     }
 };
 
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -164,6 +164,15 @@
     boost::asio::post(io_, [this, work = std::move(work)] { endpoints_.setPeerLoad(work); });
 }
 
+void ForwardServer::setRetrySlack(double slack)
+{
+    boost::asio::post(io_, [this, slack] {
+        context_.retryBudget.slack = slack;
+        for (auto& [service, budget] : context_.retryBudgets)
+            budget.setOptions(context_.retryBudget);
+    });
+}
+
 void ForwardServer::beginDrain(Instant end)
 {
     isDraining_.store(true);
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -46,6 +46,8 @@
     void setEndpoints(std::vector<EndpointRecord> records, std::map<std::string, std::string> regions);
     // Sets the load from other VMs, by endpoint id.
     void setPeerLoad(std::map<std::string, EndpointWork> work);
+    // Sets this VM's part of the retry budget's slack, for each service.
+    void setRetrySlack(double slack);
     // Returns the load from this VM, by endpoint id; updated every 100 ms.
     std::map<std::string, EndpointWork> work() const;
     // From now on each reply closes its connection. After `ForwardOptions::drainGrace`, requests whose
--- a/ragwortwinch/forward/windowed_retry_budget.h
+++ b/ragwortwinch/forward/windowed_retry_budget.h
@@ -5,7 +5,7 @@
 //     if (budget.tryTake(now)) retry();
 //
 // In any window, retries are at most `ratio` times the requests, plus `slack`; requests up to a tenth of a
-// window before it count too. Each VM has its own budget; the operator's slack is divided among the VMs. Not
+// window before it count too. Each VM has its own budget, with its part of the operator's slack. Not
 // thread-safe.
 #pragma once
 
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -21,9 +21,6 @@
 // The number of past usage windows that each heartbeat carries.
 constexpr WindowId digestUsageWindows = 2;
 constexpr std::size_t maxPeerUsageEntries = 200;
-// Each VM gets the retry budget's slack divided by the number of VMs that may take requests: twice the number
-// of seed peers, plus this many that may have been replaced within the budget's window.
-constexpr std::size_t replacedVmAllowance = 2;
 constexpr Millis configRequestInterval{300};
 // A stopping VM keeps a new connection open for this long, so that its first request can arrive. Covers a
 // round trip between regions.
@@ -53,6 +50,7 @@
     , follower_({platform::configurationKey(), platform::endpointKeyPrefix(), vmKeyPrefix}, "",
           FollowerOptions{}, opIds_)
     , vms_(settings_.node, settings_.heartbeatInterval * missedHeartbeatLimit)
+    , retrySlack_(settings_.retrySlack, settings_.retryWindow, clock_.now())
     , links_(context_, settings_.node, settings_.peerAddress, settings_.heartbeatInterval, *this)
     , flusher_(settings_.node, std::to_string(incarnation_), opIds_, usageFlushInterval,
           /*retention=*/Millis(0))
@@ -79,9 +77,7 @@
     ForwardOptions options;
     options.availabilityZone = settings_.availabilityZone;
     options.region = settings_.region;
-    std::size_t vmCount = settings_.seedPeers.size() * 2 + replacedVmAllowance;
-    options.retryBudget
-        = {settings_.retryRatio, settings_.retryWindow, settings_.retrySlack / static_cast<double>(vmCount)};
+    options.retryBudget = {settings_.retryRatio, settings_.retryWindow, /*slack=*/0};
     return options;
 }
 
@@ -153,6 +149,7 @@
     clusterClock_.onOwnClock(now, clock_.unixMillis());
     tickStore(now);
     tickMembership(now);
+    tickRetryBudget(now);
     tickUsage(now);
     duties_->tick(now, clusterClock_.unixMillis(now), dutyCandidates(now));
     tickDrain(now);
@@ -230,6 +227,23 @@
     }
 }
 
+void GatewayNode::tickRetryBudget(Instant now)
+{
+    if (!hasVmList_)
+        return;
+    std::set<std::string> vms = livePeers(now);
+    vms.insert(settings_.node);
+    for (const auto& [name, vm] : storedVms_)
+        vms.insert(name);
+    retrySlack_.onVmCount(now, vms.size());
+    double part = retrySlack_.part(now);
+    if (part == retrySlackPart_)
+        return;
+    retrySlackPart_ = part;
+    LogEvent("retry_budget.part_changed").with("vms", retrySlack_.vmCount()).with("slack", part);
+    forward_->setRetrySlack(part);
+}
+
 void GatewayNode::tickUsage(Instant now)
 {
     runner_.run(flusher_.tick(now, usage_.totals()),
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -15,6 +15,7 @@
 #include "ragwortwinch/forward/forward_server.h"
 #include "ragwortwinch/membership/cluster_clock.h"
 #include "ragwortwinch/membership/peer_links.h"
+#include "ragwortwinch/membership/shared_limit.h"
 #include "ragwortwinch/membership/vm_registration.h"
 #include "ragwortwinch/membership/vm_table.h"
 #include "ragwortwinch/node/gateway_duties.h"
@@ -66,6 +67,7 @@
     // Installs a configuration if it is newer than the active one.
     void adoptConfig(const std::string& text, const std::string& source);
     void tickMembership(Instant now);
+    void tickRetryBudget(Instant now);
     void tickUsage(Instant now);
     void tickDrain(Instant now);
     std::set<std::string> livePeers(Instant now) const;
@@ -105,6 +107,10 @@
     VmTable vms_;
     // The VMs registered in the store, by name.
     std::map<std::string, VmInfo> storedVms_;
+    // Whether the store's list of VMs has been read.
+    bool hasVmList_ = false;
+    SharedLimit retrySlack_;
+    double retrySlackPart_ = 0;
     std::unique_ptr<VmRegistration> registration_;
     PeerLinks links_;
     UsageFlusher flusher_;
--- a/ragwortwinch/node/gateway_status.cc
+++ b/ragwortwinch/node/gateway_status.cc
@@ -26,6 +26,7 @@
             {"leaving", record.isDraining}});
     }
     return {{"node", settings_.node}, {"ready", isReady_.load()}, {"config_version", configVersion_},
+        {"retry_slack", retrySlackPart_}, {"retry_slack_vms", retrySlack_.vmCount()},
         {"store_down", follower_.isStoreLost()}, {"proof_age_ms", (now - follower_.confirmedAt()).count()},
         {"vms", vms}, {"endpoints", endpoints}, {"duties", Json::array({duties_->dump(now)})}};
 }
--- a/ragwortwinch/node/gateway_updates.cc
+++ b/ragwortwinch/node/gateway_updates.cc
@@ -73,6 +73,7 @@
 
 void GatewayNode::onVmList(Instant, const std::vector<StoreEntry>& entries)
 {
+    hasVmList_ = true;
     storedVms_.clear();
     for (const StoreEntry& entry : entries) {
         if (std::optional<VmInfo> vm = decodeVmEntry(entry.value))
