Sum the peers' load by change, in one class for both modes

Cause: GatewayNode::onDigest summed the loads of all peers over all endpoints again for each digest, so the work a second grew with the square of the number of VMs: at 195 VMs 970 digests a second, each over 194 reports of 31 endpoints.

PeerLoad (from node/, which had the same loop for the product's own mode on each tick) keeps sums and adds what a report changes; the gateway passes them on at most every 20 ms. A peer that is leaving counts until it falls silent, since its requests still run; it was left out before in gateway mode.

FakeEndpoint discarded what arrived in the 1 ms in which it looked for the end of an idle connection; before it closed the connection there as well, which hid it.

--- a/bench/micro_benchmarks.cc
+++ b/bench/micro_benchmarks.cc
@@ -11,6 +11,7 @@
 #include "ragwortwinch/dispatch/chat_request.h"
 #include "ragwortwinch/fleet/order_journal.h"
 #include "ragwortwinch/lease/lease_keeper.h"
+#include "ragwortwinch/membership/peer_load.h"
 #include "ragwortwinch/membership/peer_message.h"
 #include "ragwortwinch/membership/vm_table.h"
 #include "ragwortwinch/routing/endpoint_table.h"
@@ -233,6 +234,37 @@
 }
 BENCHMARK(journalWrite)->Arg(5)->Arg(178)->Unit(benchmark::kMicrosecond);
 
+// One digest of one of `range` peers, each with a load on 31 endpoints.
+void peerLoadReport(benchmark::State& state)
+{
+    PeerLoad load(Millis(2000));
+    std::vector<std::vector<EndpointLoad>> loads{makeDigest(31).loads, makeDigest(31).loads};
+    loads[1][0].running += 1;
+    for (std::int64_t peer = 0; peer < state.range(0); ++peer)
+        load.onReport(Instant(Millis(0)), fmt::format("vm-{}", peer), loads[0]);
+    std::size_t number = 0;
+    for (auto _ : state)
+        load.onReport(Instant(Millis(0)), "vm-0", loads[++number % 2]);
+}
+BENCHMARK(peerLoadReport)->Arg(8)->Arg(194)->Arg(999)->Unit(benchmark::kMicrosecond);
+
+// The simple alternative: sums the loads of all peers again for each digest.
+void peerLoadSumOfAll(benchmark::State& state)
+{
+    std::map<std::string, std::vector<EndpointLoad>> reports;
+    for (std::int64_t peer = 0; peer < state.range(0); ++peer)
+        reports[fmt::format("vm-{}", peer)] = makeDigest(31).loads;
+    for (auto _ : state) {
+        std::map<std::string, EndpointLoad> sums;
+        for (const auto& [peer, loads] : reports) {
+            for (const EndpointLoad& load : loads)
+                sums[load.endpoint].running += load.running;
+        }
+        benchmark::DoNotOptimize(sums);
+    }
+}
+BENCHMARK(peerLoadSumOfAll)->Arg(8)->Arg(194)->Arg(999)->Unit(benchmark::kMicrosecond);
+
 } // namespace
 } // namespace ragwortwinch
 
--- a/ragwortwinch/forward/forward_server_test.cc
+++ b/ragwortwinch/forward/forward_server_test.cc
@@ -44,6 +44,19 @@
     return true;
 }
 
+// Guards against a fake that discards what arrives while it checks whether the connection has ended.
+TEST_CASE("a fake endpoint answers requests that come after any pause")
+{
+    FakeEndpoint endpoint(answerOk);
+    RawSocket connection = RawSocket::connectTo(endpoint.port());
+    for (int millis = 98; millis < 108; ++millis) {
+        CAPTURE(millis);
+        std::this_thread::sleep_for(std::chrono::milliseconds(millis));
+        connection.send("GET / HTTP/1.1\r\nId: r\r\n\r\n");
+        CHECK(connection.readMessage(1000).ends_with("fine"));
+    }
+}
+
 TEST_CASE("a request is forwarded unchanged, with the team and without the key")
 {
     ForwardFixture fixture;
--- a/ragwortwinch/membership/peer_digest.h
+++ b/ragwortwinch/membership/peer_digest.h
@@ -21,6 +21,8 @@
     std::int64_t promptTokens = 0;
     // The same for prompts that can't.
     std::int64_t latePromptTokens = 0;
+
+    bool operator==(const EndpointLoad&) const = default;
 };
 
 struct PeerDigest {
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -22,6 +22,8 @@
 constexpr WindowId digestUsageWindows = 2;
 constexpr std::size_t maxPeerUsageEntries = 200;
 constexpr Millis configRequestInterval{300};
+// The peers' digests arrive one by one; their sums are passed on together.
+constexpr Millis peerLoadInterval{20};
 // A stopping VM keeps a new connection open for this long, so that its first request can arrive. Covers a
 // round trip between regions.
 constexpr Millis firstRequestWait{250};
@@ -54,6 +56,7 @@
     , links_(context_, settings_.node, settings_.peerAddress, settings_.heartbeatInterval, *this)
     , flusher_(settings_.node, std::to_string(incarnation_), opIds_, usageFlushInterval,
           /*retention=*/Millis(0))
+    , peerLoad_(settings_.heartbeatInterval * missedHeartbeatLimit)
 {
 }
 
@@ -149,6 +152,8 @@
     clusterClock_.onOwnClock(now, clock_.unixMillis());
     tickStore(now);
     tickMembership(now);
+    peerLoad_.expire(now);
+    updatePeerLoad(now);
     tickRetryBudget(now);
     tickUsage(now);
     duties_->tick(now, clusterClock_.unixMillis(now), dutyCandidates(now));
@@ -272,7 +277,7 @@
     Instant now = clock_.now();
     vms_.onHeartbeat(now, digest.sender);
     clusterClock_.onPeerClock(now, peer, digest.unixMillis);
-    peerLoads_[peer] = digest.loads;
+    peerLoad_.onReport(now, peer, digest.loads);
     if (digest.isStoreDown)
         peersWithoutStore_.insert(peer);
     else
@@ -284,24 +289,24 @@
             peerUsage_.erase(peerUsage_.begin());
         duties_->setDirectTotals(peerUsage_);
     }
-    std::set<std::string> live = livePeers(now);
-    std::map<std::string, EndpointWork> loadByEndpoint;
-    for (const auto& [name, loads] : peerLoads_) {
-        if (!live.contains(name))
-            continue;
-        for (const EndpointLoad& load : loads) {
-            loadByEndpoint[load.endpoint].running += load.running;
-            loadByEndpoint[load.endpoint].promptTokens.onTime += load.promptTokens;
-            loadByEndpoint[load.endpoint].promptTokens.late += load.latePromptTokens;
-        }
-    }
-    forward_->setPeerLoad(std::move(loadByEndpoint));
+    updatePeerLoad(now);
     if (digest.configVersion > configVersion_ && now >= nextConfigRequest_) {
         nextConfigRequest_ = now + configRequestInterval;
         links_.send(peer, encodeFrame(PeerMessageKind::ConfigRequest, {}));
     }
 }
 
+void GatewayNode::updatePeerLoad(Instant now)
+{
+    if (now < nextPeerLoadUpdate_ || !peerLoad_.takeChanged())
+        return;
+    nextPeerLoadUpdate_ = now + peerLoadInterval;
+    std::map<std::string, EndpointWork> workByEndpoint;
+    for (const auto& [endpoint, load] : peerLoad_.sums())
+        workByEndpoint[endpoint] = {load.running, {load.promptTokens, load.latePromptTokens}};
+    forward_->setPeerLoad(std::move(workByEndpoint));
+}
+
 void GatewayNode::onFrame(const std::string& peer, const PeerFrame& frame)
 {
     if (frame.kind == PeerMessageKind::ConfigRequest && configVersion_ > 0) {
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -15,6 +15,7 @@
 #include "ragwortwinch/forward/forward_server.h"
 #include "ragwortwinch/membership/cluster_clock.h"
 #include "ragwortwinch/membership/peer_links.h"
+#include "ragwortwinch/membership/peer_load.h"
 #include "ragwortwinch/membership/shared_limit.h"
 #include "ragwortwinch/membership/vm_registration.h"
 #include "ragwortwinch/membership/vm_table.h"
@@ -67,6 +68,8 @@
     // Installs a configuration if it is newer than the active one.
     void adoptConfig(const std::string& text, const std::string& source);
     void tickMembership(Instant now);
+    // Passes the peers' load on to the forwarding thread, at most once per `peerLoadInterval`.
+    void updatePeerLoad(Instant now);
     void tickRetryBudget(Instant now);
     void tickUsage(Instant now);
     void tickDrain(Instant now);
@@ -117,8 +120,8 @@
     std::unique_ptr<GatewayDuties> duties_;
     std::uint64_t configVersion_ = 0;
     std::string configText_;
-    // The load that each peer puts on the endpoints.
-    std::map<std::string, std::vector<EndpointLoad>> peerLoads_;
+    PeerLoad peerLoad_;
+    Instant nextPeerLoadUpdate_;
     // Peers whose last heartbeat reported that they can't reach the store.
     std::set<std::string> peersWithoutStore_;
     // The usage that VMs reported in heartbeats, by the key of each VM's usage in the store.
--- a/ragwortwinch/node/node.cc
+++ b/ragwortwinch/node/node.cc
@@ -131,12 +131,23 @@
     });
     duties_->tick(now, clock_.unixMillis(), candidates);
     poller_.tick(now);
-    peerLoad_.apply(now, endpoints_);
+    tickPeerLoad(now);
     scheduler_.setNodeCount(vms_.usableCount(now));
     scheduler_.dispatchQueued();
     tickDrain(now);
 }
 
+void Node::tickPeerLoad(Instant now)
+{
+    peerLoad_.expire(now);
+    const std::map<std::string, EndpointLoad>& sums = peerLoad_.sums();
+    for (const EndpointPointer& endpoint : endpoints_.all()) {
+        auto found = sums.find(endpoint->name());
+        EndpointLoad load = found == sums.end() ? EndpointLoad{} : found->second;
+        endpoint->setPeerLoad(load.running, load.kvBlocks);
+    }
+}
+
 bool Node::hasEnoughStoreReaders(Instant now) const
 {
     int readers = 0;
@@ -280,7 +291,7 @@
     Instant now = clock_.now();
     echoes_.onPeerHeartbeat(peer, digest.sequence);
     vms_.onHeartbeat(now, digest.sender);
-    peerLoad_.onDigest(now, peer, digest.loads);
+    peerLoad_.onReport(now, peer, digest.loads);
     markLeaving(digest.leavingEndpoints);
     PeerConfigStatus configStatus;
     configStatus.peer = peer;
--- a/ragwortwinch/node/node.h
+++ b/ragwortwinch/node/node.h
@@ -16,12 +16,12 @@
 #include "ragwortwinch/config/settings.h"
 #include "ragwortwinch/entry/entry_handler.h"
 #include "ragwortwinch/membership/peer_links.h"
+#include "ragwortwinch/membership/peer_load.h"
 #include "ragwortwinch/membership/platform_list.h"
 #include "ragwortwinch/membership/vm_table.h"
 #include "ragwortwinch/node/duties.h"
 #include "ragwortwinch/node/heartbeat_echoes.h"
 #include "ragwortwinch/node/load_poller.h"
-#include "ragwortwinch/node/peer_load.h"
 #include "ragwortwinch/node/store_runner.h"
 #include "ragwortwinch/routing/scoring_router.h"
 #include "ragwortwinch/usage/usage_flusher.h"
@@ -85,6 +85,7 @@
     void onVmList(const std::string& body);
     void markLeaving(const std::map<std::string, std::uint64_t>& incarnations);
     void tickUsage(Instant now);
+    void tickPeerLoad(Instant now);
     void tickDrain(Instant now);
     bool hasFinished();
     DispatchContext dispatchContext();
--- a/testing/forward/fake_endpoint.h
+++ b/testing/forward/fake_endpoint.h
@@ -61,6 +61,9 @@
     int connections() const { return connections_.load(); }
 
 private:
+    // How often an idle connection checks whether the endpoint is stopping.
+    static constexpr int stopCheckMillis = 100;
+
     void accept()
     {
         while (true) {
@@ -75,14 +78,12 @@
     void serve(RawSocket socket)
     {
         while (!isStopping_.load()) {
-            std::string request = socket.readMessage(100);
-            if (request.empty()) {
-                bool hasClosed = false;
-                socket.readToEnd(hasClosed, 1);
-                if (hasClosed)
-                    return;
+            if (!socket.waitForInput(stopCheckMillis))
                 continue;
-            }
+            std::string request = socket.readMessage();
+            // The connection has ended.
+            if (request.empty())
+                return;
             {
                 std::lock_guard<std::mutex> lock(mutex_);
                 requests_.push_back(request);
--- a/testing/forward/raw_socket.h
+++ b/testing/forward/raw_socket.h
@@ -71,6 +71,14 @@
         close();
     }
 
+    // Waits until something can be read, which includes the end of the connection. Returns false on a
+    // time-out.
+    bool waitForInput(int millis)
+    {
+        pollfd ready{descriptor_, POLLIN, 0};
+        return !received_.empty() || poll(&ready, 1, millis) > 0;
+    }
+
     // Waits until `text` has arrived; returns everything up to and including it. On a time-out or at the end
     // of the connection returns what has arrived.
     std::string readUntil(const std::string& text, int millis = 3000)
