Keep the usage that peers report directly for every VM, without a fixed number

Cause: the gateway kept 200 entries and dropped the first by name beyond them. 195 VMs and a few restarts lose usage of living VMs whose counts are not in the store yet; and each digest copied all entries to the closer.

WindowCloser takes one contributor's totals at a time and drops them when their windows are older than retainedWindows.

Entries of ended processes go with their windows.

--- a/ragwortwinch/node/gateway_duties.h
+++ b/ragwortwinch/node/gateway_duties.h
@@ -30,10 +30,10 @@
 
     // `candidates` are the other VMs that could take the duty now.
     void tick(Instant now, std::int64_t unixMillis, const std::set<std::string>& candidates);
-    // Sets the usage that the VMs reported in heartbeats, by the key of each VM's usage in the store.
-    void setDirectTotals(std::map<std::string, WindowUsage> totals)
+    // Sets the usage that a VM reported in a heartbeat; `key` is the key of its usage in the store.
+    void setDirectTotals(const std::string& key, WindowUsage totals)
     {
-        closer_.setDirectTotals(std::move(totals));
+        closer_.setDirectTotals(key, std::move(totals));
     }
     // Sets the current services and endpoints for the planners.
     void setServices(std::vector<ServiceRule> services) { services_ = std::move(services); }
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -20,7 +20,6 @@
 constexpr Millis usageFlushInterval{2000};
 // The number of past usage windows that each heartbeat carries.
 constexpr WindowId digestUsageWindows = 2;
-constexpr std::size_t maxPeerUsageEntries = 200;
 constexpr Millis configRequestInterval{300};
 // The peers' digests arrive one by one; their sums are passed on together.
 constexpr Millis peerLoadInterval{20};
@@ -283,11 +282,8 @@
     else
         peersWithoutStore_.erase(peer);
     if (!digest.usage.empty()) {
-        std::string key = usageKey(peer, std::to_string(digest.sender.incarnation));
-        peerUsage_[key] = windowUsageFromJson(parseJsonOrDiscard(digest.usage));
-        if (peerUsage_.size() > maxPeerUsageEntries)
-            peerUsage_.erase(peerUsage_.begin());
-        duties_->setDirectTotals(peerUsage_);
+        duties_->setDirectTotals(usageKey(peer, std::to_string(digest.sender.incarnation)),
+            windowUsageFromJson(parseJsonOrDiscard(digest.usage)));
     }
     updatePeerLoad(now);
     if (digest.configVersion > configVersion_ && now >= nextConfigRequest_) {
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -124,8 +124,6 @@
     Instant nextPeerLoadUpdate_;
     // Peers whose last heartbeat reported that they can't reach the store.
     std::set<std::string> peersWithoutStore_;
-    // The usage that VMs reported in heartbeats, by the key of each VM's usage in the store.
-    std::map<std::string, WindowUsage> peerUsage_;
     std::uint64_t digestSequence_ = 0;
     std::uint64_t watchCalls_ = 0;
     Instant nextConfigRequest_;
--- a/ragwortwinch/usage/window_closer.cc
+++ b/ragwortwinch/usage/window_closer.cc
@@ -28,9 +28,18 @@
     return {};
 }
 
+void WindowCloser::forgetOldDirectTotals()
+{
+    WindowId oldest = unixMillis_ / options_.windowLength.count() - retainedWindows;
+    std::erase_if(directTotals_, [oldest](const std::pair<const std::string, WindowUsage>& entry) {
+        return entry.second.empty() || entry.second.rbegin()->first < oldest;
+    });
+}
+
 StoreOps WindowCloser::tick(Instant now, std::int64_t unixMillis, const Authority& authority)
 {
     unixMillis_ = unixMillis;
+    forgetOldDirectTotals();
     bool hasLostAuthority = authority.epoch == 0 && isEnabled(Mechanism::ReportUnderAuthority);
     if (authority.epoch != epoch_ && (authority.epoch != 0 || hasLostAuthority)) {
         epoch_ = authority.epoch;
--- a/ragwortwinch/usage/window_closer.h
+++ b/ragwortwinch/usage/window_closer.h
@@ -43,9 +43,14 @@
     StoreOps tick(Instant now, std::int64_t unixMillis, const Authority& authority);
     // Takes the answer to one of them; answers to other operations are ignored.
     StoreOps onAnswer(Instant now, const StoreAnswer& answer);
-    // Sets the totals that contributors sent directly, by their store key. Where they are greater than the
-    // stored totals, as for a VM that can't reach the store, they count instead.
-    void setDirectTotals(std::map<std::string, WindowUsage> totals) { directTotals_ = std::move(totals); }
+    // Sets the totals of a contributor's latest windows, sent directly by the contributor with this store
+    // key. Where they are greater than the stored totals, as for a VM that can't reach the store, they count
+    // instead. They are kept until their windows are older than `retainedWindows`.
+    void setDirectTotals(const std::string& key, WindowUsage totals)
+    {
+        directTotals_[key] = std::move(totals);
+    }
+    std::size_t directContributors() const { return directTotals_.size(); }
     // Returns the window to report now, and again after each retry interval until its result is known.
     std::optional<ClosedWindow> takeReport(Instant now, const Authority& authority);
     // Takes the outcome of a report: after an unknown one, `takeReport` returns the window again; after any
@@ -74,6 +79,7 @@
     {
         return "usage/closed/" + shard_ + "/" + std::to_string(window);
     }
+    void forgetOldDirectTotals();
     StoreOps startOp(StoreOp op, Step step);
     StoreOps restart(Instant now);
     StoreOps onMarkRead(const StoreAnswer& answer);
--- a/ragwortwinch/usage/window_closer_test.cc
+++ b/ragwortwinch/usage/window_closer_test.cc
@@ -70,5 +70,32 @@
     CHECK_THROWS_AS(running.close({{6, {{"riders", {8, 0, 0}}}}}), std::logic_error);
 }
 
+// Each VM counts, whatever their number, and those that have restarted count with both of their processes.
+TEST_CASE("the direct totals of hundreds of VMs are all reported")
+{
+    constexpr int vms = 300;
+    RunningCloser running(true);
+    for (int vm = 0; vm < vms; ++vm) {
+        std::string name = "usage/node/vm" + std::to_string(vm);
+        running.closer.setDirectTotals(name + ".1", {{7, {{"riders", {2, 0, 0}}}}});
+        if (vm % 10 == 0)
+            running.closer.setDirectTotals(name + ".2", {{7, {{"riders", {1, 0, 0}}}}});
+    }
+    ClosedWindow closed = running.close({});
+    CHECK(closed.figures.at("riders").requests == vms * 2 + vms / 10);
+}
+
+TEST_CASE("direct totals of processes that have ended are dropped with their windows")
+{
+    RunningCloser running(true);
+    running.closer.setDirectTotals("usage/node/b.1", {{7, {{"riders", {2, 0, 0}}}}});
+    running.closer.setDirectTotals("usage/node/b.2", {{7 + retainedWindows, {{"riders", {2, 0, 0}}}}});
+    running.closer.setDirectTotals("usage/node/idle.1", {});
+    running.closer.tick(Instant(Millis(2000)), (7 + retainedWindows) * 5000, held);
+    CHECK(running.closer.directContributors() == 2);
+    running.closer.tick(Instant(Millis(3000)), (8 + retainedWindows) * 5000, held);
+    CHECK(running.closer.directContributors() == 1);
+}
+
 } // namespace
 } // namespace ragwortwinch
