Count a retry budget's slack as used up, not as owed, when it shrinks; log an accept that fails at a stop

setOptions now runs while a budget is in use. With a smaller slack than was taken before, available() fell below what requests had earned, so no first-byte timeout was set though retries were left.

--- a/ragwortwinch/forward/decisions_test.cc
+++ b/ragwortwinch/forward/decisions_test.cc
@@ -54,6 +54,19 @@
     CHECK(later <= 6);
 }
 
+TEST_CASE("a smaller slack leaves what requests earn, also after more than it has been taken")
+{
+    WindowedRetryBudget budget({0.2, Millis(10000), 20});
+    for (int retry = 0; retry < 17; ++retry)
+        CHECK(budget.tryTake(at(0)));
+    budget.setOptions({0.2, Millis(10000), 2});
+    CHECK_FALSE(budget.tryTake(at(2000)));
+    for (int index = 0; index < 100; ++index)
+        budget.onRequest(at(2000));
+    CHECK(budget.available(at(2000)) == 17);
+    CHECK(budget.tryTake(at(2000)));
+}
+
 // Returns by how much retries exceed the operators' rule at worst. The rule: in any window, retries are at
 // most the slack plus the ratio of the requests in that window, or in the one that starts a whole or half a
 // window earlier.
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -197,8 +197,10 @@
                 addSession(std::move(socket));
             }
         }
-        boost::system::error_code closeError;
-        acceptor_.close(closeError);
+        if (error != boost::asio::error::would_block)
+            LogEvent("callers.accept_failed", Severity::Warning).with("problem", error.message());
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
         LogEvent("callers.listener_closed")
             .with("queued_connections", queued)
             .with("connections", sessions_.size());
--- a/ragwortwinch/forward/windowed_retry_budget.cc
+++ b/ragwortwinch/forward/windowed_retry_budget.cc
@@ -1,5 +1,7 @@
 #include "ragwortwinch/forward/windowed_retry_budget.h"
 
+#include <algorithm>
+
 namespace ragwortwinch {
 
 WindowedRetryBudget::Step& WindowedRetryBudget::current(Instant now)
@@ -30,8 +32,8 @@
 
 std::int64_t WindowedRetryBudget::slackLeft() const
 {
-    return static_cast<std::int64_t>(options_.slack * usableFraction)
-        - static_cast<std::int64_t>(slackUses_.size());
+    std::int64_t used = static_cast<std::int64_t>(slackUses_.size());
+    return std::max<std::int64_t>(0, static_cast<std::int64_t>(options_.slack * usableFraction) - used);
 }
 
 std::int64_t WindowedRetryBudget::available(Instant now)
--- a/ragwortwinch/forward/windowed_retry_budget.h
+++ b/ragwortwinch/forward/windowed_retry_budget.h
@@ -28,6 +28,7 @@
         : options_(options)
     {
     }
+    // Retries that were taken before count against the new limits.
     void setOptions(RetryBudgetOptions options) { options_ = options; }
 
     void onRequest(Instant now);
