--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -3,8 +3,9 @@
 #     rw_package(lease DEPENDS base store LIBRARIES rt)
 #
 # builds the library rw_lease from all sources except *_test.cc and *_main.cc, and the test program lease_test from all
-# *_test.cc. The test also links the packages in TEST_DEPENDS. Configuration fails if a source or header of the library
-# includes a package that is not in DEPENDS, directly or transitively, or an internal header of another package.
+# *_test.cc. The test also links the packages in TEST_DEPENDS and runs with TEST_ARGUMENTS. Configuration fails if a
+# source or header of the library includes a package that is not in DEPENDS, directly or transitively, or an internal
+# header of another package.
 
 function(rw_check_includes package files allowed)
     foreach(file IN LISTS files)
@@ -22,7 +23,7 @@
 endfunction()
 
 function(rw_package package)
-    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES;TEST_DEPENDS" ${ARGN})
+    cmake_parse_arguments(ARG "" "" "DEPENDS;LIBRARIES;TEST_DEPENDS;TEST_ARGUMENTS" ${ARGN})
     file(GLOB_RECURSE sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${package}/*.cc)
     file(GLOB_RECURSE headers CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${package}/*.h)
     set(tests ${sources})
@@ -45,6 +46,6 @@
         list(TRANSFORM ARG_TEST_DEPENDS PREPEND rw_ OUTPUT_VARIABLE test_linked)
         add_executable(${package}_test ${tests} ${CMAKE_SOURCE_DIR}/testing/doctest_main.cc)
         target_link_libraries(${package}_test PRIVATE rw_${package} ${test_linked})
-        add_test(NAME ${package} COMMAND ${package}_test WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+        add_test(NAME ${package} COMMAND ${package}_test ${ARG_TEST_ARGUMENTS} WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
     endif()
 endfunction()
