--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -4,6 +4,7 @@
 #include "ragwortwinch/base/log_event.h"
 #include "ragwortwinch/forward/internal/http_status.h"
 #include "ragwortwinch/forward/internal/local_reply.h"
+#include "ragwortwinch/forward/prompt_parts.h"
 
 namespace ragwortwinch {
 
@@ -119,6 +120,7 @@
             .with("status", end == AttemptEnd::Complete ? replyStatus_ : 0)
             .with("send", attempts_)
             .with("kept_connection", attempt->hasReusedChannel())
+            .with("shared_parts", partIdsText(sharedPartIds(request_->caller.promptParts)))
             .with("after_event", events_.lastId());
     if (end == AttemptEnd::Broken || end == AttemptEnd::Silent || end == AttemptEnd::Complete)
         mayHaveRun_ = true;
