Put prompt parts that crash endpoints into quarantine on all VMs

Cause: every VM judged endpoints by their outcomes and took each crash for a fault of the endpoint. Nothing connected the crashes with what the requests had in common, on one VM or across VMs (each sees a part of the crashes), so the request was sent to the next engine, and repeated. Class: a request that is fatal to its server, retried by a healthy layer above it.

Fix: a VM that loses a connection asks once whether the endpoint still listens; a refusal confirms a crash, else the end of its registration. VMs tell each other the shared parts of the prompts that were lost, and which suspected parts were answered after all. A part is harmful after three crashes that followed one another without an answer (five if it was answered before); the part that explains most with the fewest prompts goes first and explains its crashes for all others. Requests with it are refused at once, 503 "not run" with Retry-After, or 502 if they may have run. The decision is kept in the store for 10 minutes, so a VM that starts or was cut off finds it. Released by an answer, by other parts that explain its crashes, or by removing its key.

--- a/ragwortwinch/base/error.h
+++ b/ragwortwinch/base/error.h
@@ -25,13 +25,15 @@
     StoreUnavailable,
     EndpointFailed,
     OutcomeUnknown,
+    // A part of the prompt crashes endpoints.
+    Quarantined,
     // The first request with the same idempotency key has not ended.
     StillRunning,
     Draining,
     Internal,
 };
 
-inline constexpr NameTable<ErrorKind, 17> errorKindNames{{{
+inline constexpr NameTable<ErrorKind, 18> errorKindNames{{{
     {ErrorKind::BadSettings, "bad_settings"},
     {ErrorKind::BadRules, "bad_rules"},
     {ErrorKind::BadRequest, "bad_request"},
@@ -46,6 +48,7 @@
     {ErrorKind::StoreUnavailable, "store_unavailable"},
     {ErrorKind::EndpointFailed, "endpoint_failed"},
     {ErrorKind::OutcomeUnknown, "outcome_unknown"},
+    {ErrorKind::Quarantined, "quarantined"},
     {ErrorKind::StillRunning, "still_running"},
     {ErrorKind::Draining, "draining"},
     {ErrorKind::Internal, "internal"},
--- a/ragwortwinch/dispatch/error_response.cc
+++ b/ragwortwinch/dispatch/error_response.cc
@@ -26,6 +26,7 @@
     case ErrorKind::OutcomeUnknown:
         return 502;
     case ErrorKind::NoCapacity:
+    case ErrorKind::Quarantined:
     case ErrorKind::NotReady:
     case ErrorKind::Stale:
     case ErrorKind::StoreUnavailable:
--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -120,7 +120,7 @@
     if (isEnded_)
         return;
     if (error) {
-        end(AttemptEnd::Broken);
+        endBroken(error);
         return;
     }
     const http::response_header<>& header = parser_->get().base();
@@ -174,7 +174,7 @@
         if (!isStale_ && !refusal_ && !chunk.empty())
             listener_->onReplyBody(std::move(chunk));
         if (!isEnded_)
-            end(AttemptEnd::Broken);
+            endBroken(error);
         return;
     }
     deliver();
@@ -208,7 +208,8 @@
 
 void Attempt::finishReply()
 {
-    bool isReusable = parser_->get().keep_alive() && !parser_->get().need_eof();
+    isDelimitedByClose_ = parser_->get().need_eof();
+    bool isReusable = parser_->get().keep_alive() && !isDelimitedByClose_;
     if (isStale_) {
         if (!isReusable) {
             end(AttemptEnd::Broken);
@@ -226,6 +227,14 @@
     end(refusal_.value_or(AttemptEnd::Complete));
 }
 
+void Attempt::endBroken(const ErrorCode& error)
+{
+    bool isClose = error == http::error::end_of_stream || error == http::error::partial_message;
+    hasLostConnection_
+        = isClose || error.category() != http::make_error_code(http::error::bad_version).category();
+    end(AttemptEnd::Broken);
+}
+
 void Attempt::releaseChannel()
 {
     ChannelPointer channel;
--- a/ragwortwinch/forward/attempt.h
+++ b/ragwortwinch/forward/attempt.h
@@ -87,6 +87,10 @@
     // True once any byte may have been sent.
     bool mayHaveBeenSent() const { return mayHaveBeenSent_; }
     bool hasReusedChannel() const { return hasReusedChannel_; }
+    // Whether the attempt ended as Broken since the connection was closed or reset, not by an invalid reply.
+    bool hasLostConnection() const { return hasLostConnection_; }
+    // Whether the reply had neither a length nor chunks, so that the end of the connection was its end.
+    bool isDelimitedByClose() const { return isDelimitedByClose_; }
 
 private:
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
@@ -102,6 +106,8 @@
     void onBody(const boost::system::error_code& error);
     void deliver();
     void finishReply();
+    // Ends a reply that couldn't be read to its end.
+    void endBroken(const boost::system::error_code& error);
     void end(AttemptEnd end);
     void releaseChannel();
 
@@ -126,6 +132,8 @@
     bool isWritten_ = false;
     bool mayHaveBeenSent_ = false;
     bool hasReusedChannel_ = false;
+    bool hasLostConnection_ = false;
+    bool isDelimitedByClose_ = false;
     bool isEnded_ = false;
 };
 
--- /dev/null
+++ b/ragwortwinch/forward/crash_detector.cc
@@ -0,0 +1,145 @@
+#include "ragwortwinch/forward/crash_detector.h"
+
+#include "ragwortwinch/forward/prompt_parts.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace ragwortwinch {
+
+// Connects to an endpoint and closes the connection again.
+class CrashDetector::Probe : public std::enable_shared_from_this<Probe> {
+public:
+    Probe(CrashDetector& owner, UpstreamPointer endpoint)
+        : owner_(owner.self_)
+        , endpoint_(std::move(endpoint))
+        , socket_(owner.io_)
+        , timer_(owner.io_)
+    {
+    }
+
+    void start(Millis timeout)
+    {
+        timer_.expires_after(timeout);
+        timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+            if (!error)
+                self->end(false);
+        });
+        socket_.async_connect(
+            endpoint_->socketAddress, [self = shared_from_this()](const boost::system::error_code& error) {
+                self->end(error == boost::asio::error::connection_refused);
+            });
+    }
+
+private:
+    void end(bool isRefused)
+    {
+        if (isEnded_)
+            return;
+        isEnded_ = true;
+        timer_.cancel();
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+        if (std::shared_ptr<CrashDetector*> owner = owner_.lock())
+            (*owner)->onProbeEnd(endpoint_, isRefused);
+    }
+
+    std::weak_ptr<CrashDetector*> owner_;
+    UpstreamPointer endpoint_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    bool isEnded_ = false;
+};
+
+CrashDetector::CrashDetector(boost::asio::io_context& io, const Clock& clock, Millis connectTimeout)
+    : io_(io)
+    , clock_(clock)
+    , connectTimeout_(connectTimeout)
+    , self_(std::make_shared<CrashDetector*>(this))
+{
+}
+
+CrashDetector::~CrashDetector() = default;
+
+void CrashDetector::setQuarantine(std::map<PartId, Instant> quarantinedUntil, std::set<PartId> suspected)
+{
+    quarantinedUntil_ = std::move(quarantinedUntil);
+    std::set<PartId> former = std::move(suspected_);
+    suspected_ = std::move(suspected);
+    if (!listener_)
+        return;
+    // An answer from before the report of a crash arrived may clear a part too.
+    for (PartId part : suspected_) {
+        std::optional<Instant> answer = former.contains(part) ? std::nullopt : lastAnswer(part);
+        if (answer)
+            listener_->onAnswered(part, *answer);
+    }
+}
+
+std::optional<QuarantinedPart> CrashDetector::findQuarantined(const std::vector<PromptPart>& prompt) const
+{
+    if (quarantinedUntil_.empty())
+        return std::nullopt;
+    for (PartId part : sharedPartIds(prompt)) {
+        auto found = quarantinedUntil_.find(part);
+        if (found != quarantinedUntil_.end())
+            return QuarantinedPart{part, found->second};
+    }
+    return std::nullopt;
+}
+
+void CrashDetector::onAnswered(const std::vector<PromptPart>& prompt)
+{
+    Instant now = clock_.now();
+    for (PartId part : sharedPartIds(prompt)) {
+        remember(part, now);
+        if (listener_ && suspected_.contains(part))
+            listener_->onAnswered(part, now);
+    }
+}
+
+void CrashDetector::remember(PartId part, Instant at)
+{
+    if (newerAnswers_.size() >= maxAnsweredParts / 2) {
+        olderAnswers_ = std::move(newerAnswers_);
+        newerAnswers_.clear();
+    }
+    newerAnswers_[part] = at;
+}
+
+std::optional<Instant> CrashDetector::lastAnswer(PartId part) const
+{
+    for (const std::unordered_map<PartId, Instant>* answers : {&newerAnswers_, &olderAnswers_}) {
+        auto found = answers->find(part);
+        if (found != answers->end())
+            return found->second;
+    }
+    return std::nullopt;
+}
+
+void CrashDetector::onConnectionLost(
+    const UpstreamPointer& endpoint, const std::vector<PromptPart>& prompt, Instant sentAt)
+{
+    std::vector<PartId> parts = sharedPartIds(prompt);
+    if (!listener_ || parts.empty())
+        return;
+    parts.resize(std::min(parts.size(), maxPartsOfPrompt));
+    auto [entry, isNew] = probed_.try_emplace(
+        endpoint, EndpointCrash{endpoint->record.id, endpoint->record.incarnation, clock_.now(), {}});
+    if (entry->second.prompts.size() < maxPrompts)
+        entry->second.prompts.push_back({std::move(parts), sentAt});
+    if (isNew)
+        std::make_shared<Probe>(*this, endpoint)->start(connectTimeout_);
+}
+
+void CrashDetector::onProbeEnd(const UpstreamPointer& endpoint, bool isRefused)
+{
+    EndpointCrash crash = std::move(probed_[endpoint]);
+    probed_.erase(endpoint);
+    if (isRefused)
+        endpoint->outcomes.onUnreachable(clock_.now());
+    if (listener_)
+        listener_->onCrash(crash, isRefused);
+}
+
+} // namespace ragwortwinch
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -161,8 +161,31 @@
     return query;
 }
 
+bool Exchange::endIfQuarantined()
+{
+    std::optional<QuarantinedPart> found = context_.crashes.findQuarantined(request_->caller.promptParts);
+    if (!found)
+        return false;
+    context_.metrics.onQuarantined(route_->name);
+    if (isStreamStarted_) {
+        sink_->abort();
+        finish(RequestOutcome::BrokenOff, replyStatus_);
+        return true;
+    }
+    std::string message = fmt::format("endpoints crash when they answer prompts with the part {:x}; "
+                                      "send the prompt without it or ask the operators to release it",
+        found->part);
+    if (mayHaveRun_)
+        fail(statusBadGateway, RequestOutcome::Failed, ErrorKind::Quarantined, message + "; it may have run");
+    else
+        refuse(ErrorKind::Quarantined, message + "; it was not run", found->until - context_.clock.now());
+    return true;
+}
+
 void Exchange::place()
 {
+    if (endIfQuarantined())
+        return;
     PlacementQuery query = makeQuery();
     if (cacheHolder_) {
         // KV transfers are much slower between zones and regions, so prefer the prefill engine's zone.
@@ -267,6 +290,7 @@
         cacheHolder_.reset();
     }
     ++attempts_;
+    sentAt_ = context_.clock.now();
     tried_.push_back(endpoint.get());
     lastEndpoint_ = endpoint->record.id;
     replyBody_.clear();
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -55,6 +55,10 @@
     void onDeadline();
     Millis timeLeft() const;
     void chooseService();
+    // Ends the exchange if a part of its prompt is in quarantine; returns whether it did.
+    bool endIfQuarantined();
+    // Reports how the attempt ended to the detector of crashes.
+    void reportToCrashDetector(const Attempt& attempt, AttemptEnd end);
     bool wantsPrefill() const;
     std::uint64_t affinityKey() const;
     PlacementQuery makeQuery() const;
@@ -85,7 +89,8 @@
     void relayEvents(std::string events);
     void continueStream();
     void finishWhole(int status, std::string head, std::string body);
-    void refuse(ErrorKind kind, const std::string& message);
+    // `retryAfter` defaults to `ForwardOptions::retryAfter`.
+    void refuse(ErrorKind kind, const std::string& message, std::optional<Millis> retryAfter = {});
     void reject(int status, ErrorKind kind, const std::string& message);
     void fail(int status, RequestOutcome outcome, ErrorKind kind, const std::string& message);
     void sendLocalReply(int status, ErrorKind kind, const std::string& message, Millis retryAfter);
@@ -115,6 +120,8 @@
     UpstreamPointer cacheHolder_;
     std::vector<const UpstreamEndpoint*> tried_;
     int attempts_ = 0;
+    // When the last attempt was sent.
+    Instant sentAt_;
     // Failed attempts that may have run the request.
     int possibleRuns_ = 0;
     bool mayHaveRun_ = false;
--- a/ragwortwinch/forward/exchange_end.cc
+++ b/ragwortwinch/forward/exchange_end.cc
@@ -21,9 +21,9 @@
     finish(isServerError(status) ? RequestOutcome::EndpointError : RequestOutcome::Answered, status);
 }
 
-void Exchange::refuse(ErrorKind kind, const std::string& message)
+void Exchange::refuse(ErrorKind kind, const std::string& message, std::optional<Millis> retryAfter)
 {
-    sendLocalReply(statusUnavailable, kind, message, context_.options.retryAfter);
+    sendLocalReply(statusUnavailable, kind, message, retryAfter.value_or(context_.options.retryAfter));
     finish(RequestOutcome::Refused, statusUnavailable);
 }
 
--- a/ragwortwinch/forward/exchange_prompt.cc
+++ b/ragwortwinch/forward/exchange_prompt.cc
@@ -18,6 +18,8 @@
 
 void Exchange::placePrompt()
 {
+    if (endIfQuarantined())
+        return;
     Millis elapsed = context_.clock.now() - startedAt_;
     PromptQuery prompt{request_->caller.promptParts, request_->caller.promptTokens,
         std::min(route_->targetLatency - elapsed, timeLeft()),
--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -95,11 +95,22 @@
     processAttemptEnd(end);
 }
 
+void Exchange::reportToCrashDetector(const Attempt& attempt, AttemptEnd end)
+{
+    bool isAnswered = end == AttemptEnd::Complete && replyStatus_ == statusOk;
+    bool isLost = end == AttemptEnd::Silent || (end == AttemptEnd::Broken && attempt.hasLostConnection());
+    if (isAnswered)
+        context_.crashes.onAnswered(request_->caller.promptParts);
+    else if (isLost)
+        context_.crashes.onConnectionLost(attempt.endpoint(), request_->caller.promptParts, sentAt_);
+}
+
 void Exchange::processAttemptEnd(AttemptEnd end)
 {
+    std::shared_ptr<Attempt> attempt = std::move(attempt_);
     lastEnd_ = end;
     settlePendingPrompt(false);
-    std::shared_ptr<Attempt> attempt = std::move(attempt_);
+    reportToCrashDetector(*attempt, end);
     Instant now = context_.clock.now();
     UpstreamEndpoint& endpoint = *attempt->endpoint();
     context_.metrics.onAttemptEnd(service_, end);
--- a/ragwortwinch/forward/forward_context.h
+++ b/ragwortwinch/forward/forward_context.h
@@ -4,6 +4,7 @@
 #include "ragwortwinch/base/snapshot.h"
 #include "ragwortwinch/config/traffic_table.h"
 #include "ragwortwinch/forward/channel_pool.h"
+#include "ragwortwinch/forward/crash_detector.h"
 #include "ragwortwinch/forward/endpoint_chooser.h"
 #include "ragwortwinch/forward/endpoint_directory.h"
 #include "ragwortwinch/forward/forward_metrics.h"
@@ -51,6 +52,7 @@
     // By service.
     std::map<std::string, WindowedRetryBudget> retryBudgets{};
     KvTransferTime kvTransfer{};
+    CrashDetector crashes{io, clock, options.connectTimeout};
     // Endpoint searches so far; sets where the next one starts.
     std::uint64_t searchNumber = 0;
     // Set while this VM is stopping.
--- a/ragwortwinch/forward/forward_metrics.cc
+++ b/ragwortwinch/forward/forward_metrics.cc
@@ -34,6 +34,8 @@
     , retries_(counter(registry, "ragwortwinch_repeats_total", "Requests sent once more, by service"))
     , exhaustedRetryBudgets_(counter(registry, "ragwortwinch_repeat_budget_empty_total",
           "Requests that were not sent once more because the budget was spent"))
+    , quarantined_(counter(registry, "ragwortwinch_quarantined_requests_total",
+          "Requests refused for a prompt part that crashes endpoints, by route"))
     , durations_(histogram(registry, "ragwortwinch_request_duration_milliseconds",
           "From the whole request to the answer's end"))
     , firstBytes_(histogram(registry, "ragwortwinch_first_byte_milliseconds",
@@ -62,6 +64,11 @@
 
 void ForwardMetrics::onRetry(const std::string& service) { retries_.Add({{"service", service}}).Increment(); }
 
+void ForwardMetrics::onQuarantined(const std::string& route)
+{
+    quarantined_.Add({{"route", route}}).Increment();
+}
+
 void ForwardMetrics::onRetryBudgetEmpty(const std::string& service)
 {
     exhaustedRetryBudgets_.Add({{"service", service}}).Increment();
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -173,6 +173,14 @@
     });
 }
 
+void ForwardServer::setQuarantine(std::map<PartId, Instant> quarantinedUntil, std::set<PartId> suspected)
+{
+    boost::asio::post(
+        io_, [this, quarantinedUntil = std::move(quarantinedUntil), suspected = std::move(suspected)] {
+            context_.crashes.setQuarantine(quarantinedUntil, suspected);
+        });
+}
+
 void ForwardServer::beginDrain(Instant end)
 {
     isDraining_.store(true);
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -48,6 +48,10 @@
     void setPeerLoad(std::map<std::string, EndpointWork> work);
     // Sets this VM's part of the retry budget's slack, for each service.
     void setRetrySlack(double slack);
+    // Sets who receives crashes of endpoints, on the forwarding thread. Call it before `run`.
+    void setCrashListener(CrashListener* listener) { context_.crashes.setListener(listener); }
+    // Sets the prompt parts in quarantine, and those of which answers are reported to the listener.
+    void setQuarantine(std::map<PartId, Instant> quarantinedUntil, std::set<PartId> suspected);
     // Returns the load from this VM, by endpoint id; updated every 100 ms.
     std::map<std::string, EndpointWork> work() const;
     // From now on each reply closes its connection. After `ForwardOptions::drainGrace`, requests whose
--- a/ragwortwinch/membership/peer_message.h
+++ b/ragwortwinch/membership/peer_message.h
@@ -21,6 +21,8 @@
     // Requests the peer's current configuration.
     ConfigRequest = 2,
     ConfigBody = 3,
+    // Crashes and harmful prompt parts; see quarantine/quarantine_news.h.
+    QuarantineNews = 4,
 };
 
 inline constexpr std::uint8_t peerProtocolVersion = 1;
--- a/ragwortwinch/node/gateway_duties.cc
+++ b/ragwortwinch/node/gateway_duties.cc
@@ -2,7 +2,7 @@
 
 #include "platform/duty_calls.h"
 #include "platform/engine_calls.h"
-#include "ragwortwinch/base/digest.h"
+#include "ragwortwinch/base/rendezvous_rank.h"
 
 namespace ragwortwinch {
 
@@ -25,12 +25,7 @@
 bool isPreferredDutyHolder(
     const std::string& duty, const std::string& self, const std::set<std::string>& candidates)
 {
-    std::string ownHash = sha256Hex(duty + "/" + self);
-    for (const std::string& candidate : candidates) {
-        if (sha256Hex(duty + "/" + candidate) > ownHash)
-            return false;
-    }
-    return true;
+    return rendezvousRank(duty, self, candidates) == 0;
 }
 
 GatewayDuties::GatewayDuties(const GatewaySettings& settings, const std::string& incarnation,
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -48,11 +48,14 @@
     , directory_(std::make_unique<VmDirectory>())
     , timer_(context_)
     , runner_(context_, *store_, clock_)
-    , follower_({platform::configurationKey(), platform::endpointKeyPrefix(), vmKeyPrefix}, "",
+    // The quarantine comes first, so that a VM that starts knows it before it serves.
+    , follower_(
+          {quarantineKeyPrefix, platform::configurationKey(), platform::endpointKeyPrefix(), vmKeyPrefix}, "",
           FollowerOptions{}, opIds_)
     , vms_(settings_.node, settings_.heartbeatInterval * missedHeartbeatLimit)
     , retrySlack_(settings_.retrySlack, settings_.retryWindow, clock_.now())
     , links_(context_, settings_.node, settings_.peerAddress, settings_.heartbeatInterval, *this)
+    , quarantine_(settings_.node, opIds_)
     , flusher_(settings_.node, std::to_string(incarnation_), opIds_, usageFlushInterval,
           /*retention=*/Millis(0))
     , peerLoad_(settings_.heartbeatInterval * missedHeartbeatLimit)
@@ -120,6 +123,7 @@
     duties_ = std::make_unique<GatewayDuties>(
         settings_, std::to_string(incarnation_), context_, runner_, opIds_, *storeClient_);
     clusterClock_.onOwnClock(clock_.now(), clock_.unixMillis());
+    forward_->setCrashListener(this);
     scheduleTick();
     controlThread_ = std::thread([this] { context_.run(); });
     forwardThread_ = std::thread([this] { forward_->run(); });
@@ -154,6 +158,7 @@
     peerLoad_.expire(now);
     updatePeerLoad(now);
     tickRetryBudget(now);
+    tickQuarantine(now);
     tickUsage(now);
     duties_->tick(now, clusterClock_.unixMillis(now), dutyCandidates(now));
     tickDrain(now);
@@ -286,6 +291,7 @@
             windowUsageFromJson(parseJsonOrDiscard(digest.usage)));
     }
     updatePeerLoad(now);
+    sendAllQuarantineNews(peer, digest.sender.incarnation);
     if (digest.configVersion > configVersion_ && now >= nextConfigRequest_) {
         nextConfigRequest_ = now + configRequestInterval;
         links_.send(peer, encodeFrame(PeerMessageKind::ConfigRequest, {}));
@@ -314,6 +320,10 @@
         links_.send(peer, encodeConfigBody(body));
         return;
     }
+    if (frame.kind == PeerMessageKind::QuarantineNews) {
+        onQuarantineNews(peer, frame.payload);
+        return;
+    }
     if (frame.kind != PeerMessageKind::ConfigBody)
         return;
     std::optional<ConfigBody> body = decodeConfigBody(frame.payload);
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -22,6 +22,7 @@
 #include "ragwortwinch/node/gateway_duties.h"
 #include "ragwortwinch/node/gateway_handlers.h"
 #include "ragwortwinch/node/store_runner.h"
+#include "ragwortwinch/quarantine/prompt_quarantine.h"
 #include "ragwortwinch/routing/endpoint_registry.h"
 #include "ragwortwinch/store/store_follower.h"
 #include "ragwortwinch/usage/usage_flusher.h"
@@ -35,7 +36,7 @@
 
 namespace ragwortwinch {
 
-class GatewayNode final : private PeerListener {
+class GatewayNode final : private PeerListener, private CrashListener {
 public:
     explicit GatewayNode(GatewaySettings settings);
     ~GatewayNode() override;
@@ -55,6 +56,9 @@
     PeerDigest makeDigest(const std::string& peer) override;
     void onDigest(const std::string& peer, const PeerDigest& digest) override;
     void onFrame(const std::string& peer, const PeerFrame& frame) override;
+    // Both run on the forwarding thread.
+    void onCrash(const EndpointCrash& crash, bool isConfirmed) override;
+    void onAnswered(PartId part, Instant at) override;
 
     ForwardOptions makeForwardOptions() const;
     Result<std::unique_ptr<HttpServer>> startServer(
@@ -71,6 +75,10 @@
     // Passes the peers' load on to the forwarding thread, at most once per `peerLoadInterval`.
     void updatePeerLoad(Instant now);
     void tickRetryBudget(Instant now);
+    void tickQuarantine(Instant now);
+    void onQuarantineNews(const std::string& peer, const std::string& payload);
+    // Tells a peer that has connected or restarted everything that it may have missed.
+    void sendAllQuarantineNews(const std::string& peer, std::uint64_t incarnation);
     void tickUsage(Instant now);
     void tickDrain(Instant now);
     std::set<std::string> livePeers(Instant now) const;
@@ -116,6 +124,9 @@
     double retrySlackPart_ = 0;
     std::unique_ptr<VmRegistration> registration_;
     PeerLinks links_;
+    PromptQuarantine quarantine_;
+    // Incarnations of the connected peers that were told everything about the quarantine.
+    std::map<std::string, std::uint64_t> informedPeers_;
     UsageFlusher flusher_;
     std::unique_ptr<GatewayDuties> duties_;
     std::uint64_t configVersion_ = 0;
--- a/ragwortwinch/node/gateway_status.cc
+++ b/ragwortwinch/node/gateway_status.cc
@@ -25,10 +25,14 @@
             {"running", known == work.end() ? 0 : known->second.running}, {"usable", !record.isDraining},
             {"leaving", record.isDraining}});
     }
+    Json quarantine = Json::array();
+    for (const auto& [part, until] : quarantine_.quarantinedUntil())
+        quarantine.push_back({{"part", partIdText(part)}, {"left_ms", (until - now).count()}});
     return {{"node", settings_.node}, {"ready", isReady_.load()}, {"config_version", configVersion_},
         {"retry_slack", retrySlackPart_}, {"retry_slack_vms", retrySlack_.vmCount()},
         {"store_down", follower_.isStoreLost()}, {"proof_age_ms", (now - follower_.confirmedAt()).count()},
-        {"vms", vms}, {"endpoints", endpoints}, {"duties", Json::array({duties_->dump(now)})}};
+        {"vms", vms}, {"endpoints", endpoints}, {"quarantine", quarantine},
+        {"duties", Json::array({duties_->dump(now)})}};
 }
 
 Json GatewayNode::dump(Instant now) const
--- a/ragwortwinch/node/gateway_updates.cc
+++ b/ragwortwinch/node/gateway_updates.cc
@@ -21,8 +21,13 @@
     for (const FollowerUpdate& update : follower_.takeUpdates())
         onFollowerUpdate(now, update);
     if (endpoints_.tick(now)) {
-        forward_->setEndpoints(endpoints_.records(), settings_.regions);
-        duties_->setEndpoints(endpoints_.records());
+        std::vector<EndpointRecord> records = endpoints_.records();
+        forward_->setEndpoints(records, settings_.regions);
+        duties_->setEndpoints(records);
+        std::set<std::pair<std::string, std::int64_t>> registered;
+        for (const EndpointRecord& record : records)
+            registered.emplace(record.id, record.incarnation);
+        quarantine_.onEndpoints(now, std::move(registered));
     }
 }
 
@@ -38,6 +43,8 @@
     case FollowerUpdate::Kind::List:
         if (update.prefix == vmKeyPrefix)
             onVmList(now, update.entries);
+        else if (update.prefix == quarantineKeyPrefix)
+            quarantine_.onStoreList(now, update.entries);
         else if (update.prefix == platform::endpointKeyPrefix()) {
             std::vector<EndpointRecord> records;
             for (const StoreEntry& entry : update.entries) {
@@ -59,6 +66,11 @@
     if (event.key == platform::configurationKey()) {
         if (!event.isRemoval)
             adoptConfig(event.value, "store");
+    } else if (event.key.starts_with(quarantineKeyPrefix)) {
+        if (event.isRemoval)
+            quarantine_.onStoreRemoval(now, event.key);
+        else
+            quarantine_.onStoreEntry(now, event.key);
     } else if (event.key.starts_with(vmKeyPrefix)) {
         std::string name = event.key.substr(std::string_view(vmKeyPrefix).size());
         if (event.isRemoval)
--- /dev/null
+++ b/ragwortwinch/quarantine/crash_evidence.h
@@ -0,0 +1,96 @@
+// Infers from crashes of endpoints which prompt parts cause them.
+//
+//     CrashEvidence evidence;
+//     evidence.onCrash("cnx-1", crash);             // as seen by this VM or reported by a peer
+//     evidence.onAnswered(part, answeredAt);        // a prompt with this part was answered completely
+//     for (PartId part : evidence.causes().harmful) ...
+//
+// A harmful part crashes every endpoint that answers a prompt with it. So a part is suspected of the crashes
+// since a prompt with it was last answered, and it counts how many of them followed one another: each at a
+// prompt that was sent after the crash before it. Endpoints that crash together for another reason count as
+// one. Of the suspects, the one that explains most with the fewest prompts is found harmful first; crashes
+// that it explains count for no other part.
+//
+// All VMs reach the same result from the same reports. Not thread-safe.
+#pragma once
+
+#include "ragwortwinch/quarantine/endpoint_crash.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace ragwortwinch {
+
+struct CrashCauses {
+    // The most harmful part first.
+    std::vector<PartId> harmful;
+    // Other parts with crashes that none of the harmful ones explains; too few to call them harmful.
+    std::set<PartId> unclear;
+};
+
+class CrashEvidence {
+public:
+    // Successive crashes that make a part harmful: enough that an engine's chance crash and that of a retry
+    // don't suffice.
+    static constexpr int harmfulCrashes = 3;
+    // The same for a part that prompts were answered with earlier.
+    static constexpr int harmfulCrashesOfProvenPart = 5;
+    // So many more crashes make a part harmful even if only two of them followed one another.
+    static constexpr int extraConcurrentCrashes = 2;
+    // A prompt follows a crash if it was sent this long after it: reports from other VMs are off by their
+    // time in transit, and VMs notice a crash one after the other.
+    static constexpr Millis orderTolerance{100};
+    static constexpr Millis retention{10 * 60 * 1000};
+    static constexpr std::size_t maxCrashes = 256;
+    // Limit on the proven parts that are remembered.
+    static constexpr std::size_t maxAnsweredParts = 4096;
+
+    // Replaces what `reporter` reported about the same crash before.
+    void onCrash(const std::string& reporter, const EndpointCrash& crash);
+    void onAnswered(PartId part, Instant at);
+    // Crashes up to `at` no longer count for the part.
+    void disregard(PartId part, Instant at);
+    // Forgets what is older than `retention`.
+    void expire(Instant now);
+
+    CrashCauses causes() const;
+    // Parts of prompts in crashes after which no prompt with the part was answered. News of an answer matters
+    // for these only.
+    std::set<PartId> suspectedParts() const;
+    // When a prompt with the part was last answered; Instant::min() if that is not known.
+    Instant answeredAt(PartId part) const;
+    // Parts of prompts in any crash that is remembered.
+    std::set<PartId> involvedParts() const;
+    std::size_t crashCount() const { return crashes_.size(); }
+
+private:
+    struct Crash {
+        Instant lostAt;
+        // By reporter.
+        std::map<std::string, std::vector<CrashedPrompt>> prompts;
+    };
+    // How a part was involved in one crash.
+    struct Involvement {
+        Instant lostAt;
+        // When the latest of its prompts was sent.
+        Instant sentAt;
+        int prompts = 0;
+    };
+    // Endpoint and incarnation.
+    using CrashKey = std::pair<std::string, std::int64_t>;
+    using Involvements = std::map<PartId, std::map<CrashKey, Involvement>>;
+
+    // Leaves out crashes that don't count for a part.
+    Involvements suspicions() const;
+    // Returns how harmful the part is by the crashes, or 0 if they don't suffice.
+    double harm(PartId part, const std::map<CrashKey, Involvement>& crashes) const;
+
+    std::map<CrashKey, Crash> crashes_;
+    std::map<PartId, Instant> answeredAt_;
+    std::map<PartId, Instant> disregardedUntil_;
+};
+
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/quarantine/endpoint_crash.h
@@ -0,0 +1,31 @@
+// A crash of an endpoint, and the prompts that were being answered there, as one VM saw them.
+#pragma once
+
+#include "ragwortwinch/base/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ragwortwinch {
+
+// Identifies a part of a prompt that several prompts may share.
+using PartId = std::uint64_t;
+
+struct CrashedPrompt {
+    // All but the last part, which belongs to the prompt alone.
+    std::vector<PartId> parts;
+    // When the prompt was sent to the endpoint.
+    Instant sentAt;
+};
+
+struct EndpointCrash {
+    std::string endpoint;
+    // Start time of the endpoint's process, which tells restarts under one id apart.
+    std::int64_t incarnation = 0;
+    // When the first connection was lost.
+    Instant lostAt;
+    std::vector<CrashedPrompt> prompts;
+};
+
+} // namespace ragwortwinch
