Treat a stream that ends with its connection inside an event as broken off

Where a reply has neither a length nor chunks, the end of its connection was taken for its end in any case, so a caller got a stream that was cut inside an event as a complete one. Now the rest of an event makes it a broken attempt: resumed where the route allows it, else reset, or 502 if nothing was delivered. It also counts as a lost connection for the quarantine, since a crash may look like this.

--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -98,7 +98,8 @@
 void Exchange::reportToCrashDetector(const Attempt& attempt, AttemptEnd end)
 {
     bool isAnswered = end == AttemptEnd::Complete && replyStatus_ == statusOk;
-    bool isLost = end == AttemptEnd::Silent || (end == AttemptEnd::Broken && attempt.hasLostConnection());
+    bool isLost = end == AttemptEnd::Silent
+        || (end == AttemptEnd::Broken && (attempt.hasLostConnection() || attempt.isDelimitedByClose()));
     if (isAnswered)
         context_.crashes.onAnswered(request_->caller.promptParts);
     else if (isLost)
@@ -108,6 +109,10 @@
 void Exchange::processAttemptEnd(AttemptEnd end)
 {
     std::shared_ptr<Attempt> attempt = std::move(attempt_);
+    bool isCutInsideEvent = end == AttemptEnd::Complete && isEventReply_ && attempt->isDelimitedByClose()
+        && !events_.rest().empty();
+    if (isCutInsideEvent)
+        end = AttemptEnd::Broken;
     lastEnd_ = end;
     settlePendingPrompt(false);
     reportToCrashDetector(*attempt, end);
