Share the request limit that an endpoint names between all VMs

Cause: the field was not read, so placement went by slots and queues only. Each VM reading it for itself would not do: every VM told would send the whole limit. Class: a limit on a shared receiver, enforced by each sender alone.

Fix: the limit in a reply stops this VM at once; its part is computed from the list of VMs: the first floor(limit) VMs by rendezvous hash of the endpoint are its senders and share the limit equally, the others leave it alone. A sender saves up one request at most and starts with none, so all senders together send at most the limit and one request each beyond it. VMs tell each other in their digests what they have read, with its age; the newest counts. A limit ends with three replies without it, at least one second after the last one with it. A limit below 0.25 a second leaves a trickle from one VM, since only replies show its end. Endpoints without room in their limit are no candidates.

--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -139,6 +139,9 @@
         return;
     }
     if (!isStale_) {
+        // Replies to calls other than requests, which have no id, need not name the limit.
+        if (header.result_int() != statusMisdirected && !options_.requestId.empty())
+            endpoint_->limit.onReply(clock_.now(), reply_.requestLimit);
         if (header.result_int() == statusMisdirected)
             refusal_ = AttemptEnd::Misdirected;
         else if (reply_.isNotExecuted)
--- a/ragwortwinch/forward/endpoint_chooser.cc
+++ b/ragwortwinch/forward/endpoint_chooser.cc
@@ -77,7 +77,7 @@
     for (const UpstreamPointer& endpoint : candidates) {
         bool isExcluded
             = std::find(query.excluded.begin(), query.excluded.end(), endpoint.get()) != query.excluded.end();
-        if (isExcluded || !endpoint->isUsable())
+        if (isExcluded || !endpoint->isUsable() || !endpoint->limit.mayTake(now))
             continue;
         bool isBackingOff = endpoint->outcomes.isBackingOff(now);
         if (!isBackingOff && !endpoint->outcomes.isSuspect()) {
--- a/ragwortwinch/forward/endpoint_chooser.h
+++ b/ragwortwinch/forward/endpoint_chooser.h
@@ -68,8 +68,8 @@
 };
 
 // Returns the candidates that may be used now: registered, neither draining nor misdirected, not excluded,
-// and neither suspect nor backing off unless there are no others. Sets `probeTarget` if the query may probe,
-// a suspect endpoint is due for a probe, and there are healthy ones.
+// within their request limits, and neither suspect nor backing off unless there are no others. Sets
+// `probeTarget` if the query may probe, a suspect endpoint is due for a probe, and there are healthy ones.
 std::vector<UpstreamPointer> usableCandidates(const PlacementQuery& query,
     const std::vector<UpstreamPointer>& candidates, Instant now, UpstreamPointer& probeTarget);
 
--- a/ragwortwinch/forward/endpoint_directory.cc
+++ b/ragwortwinch/forward/endpoint_directory.cc
@@ -59,6 +59,20 @@
     }
 }
 
+void EndpointDirectory::onPeerLimit(
+    const std::string& id, std::int64_t incarnation, const RequestLimitObservation& observation)
+{
+    auto found = endpoints_.find({id, incarnation});
+    if (found != endpoints_.end())
+        found->second->limit.onPeerObservation(observation);
+}
+
+void EndpointDirectory::requestLimitParts()
+{
+    for (const auto& [key, endpoint] : endpoints_)
+        endpoint->limit.requestPart();
+}
+
 const std::vector<UpstreamPointer>& EndpointDirectory::endpointsOf(const std::string& service) const
 {
     static const std::vector<UpstreamPointer> none;
--- a/ragwortwinch/forward/endpoint_directory.h
+++ b/ragwortwinch/forward/endpoint_directory.h
@@ -36,6 +36,12 @@
     // Sets the load from other VMs, by endpoint id.
     void setPeerLoad(const std::map<std::string, EndpointWork>& work);
 
+    // Applies what a peer has read in an endpoint's replies.
+    void onPeerLimit(
+        const std::string& id, std::int64_t incarnation, const RequestLimitObservation& observation);
+    // Has the parts of all request limits computed again.
+    void requestLimitParts();
+
     const std::vector<UpstreamPointer>& endpointsOf(const std::string& service) const;
     // The service's endpoints that can run whole requests.
     std::vector<UpstreamPointer> servingEndpoints(const std::string& service) const;
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -291,6 +291,7 @@
     }
     ++attempts_;
     sentAt_ = context_.clock.now();
+    endpoint->limit.take(sentAt_);
     tried_.push_back(endpoint.get());
     lastEndpoint_ = endpoint->record.id;
     replyBody_.clear();
--- a/ragwortwinch/forward/exchange_prompt.cc
+++ b/ragwortwinch/forward/exchange_prompt.cc
@@ -61,6 +61,7 @@
 void Exchange::startPrefill(const EngineChoice& choice)
 {
     hasStartedPrefill_ = true;
+    choice.engine->limit.take(context_.clock.now());
     addPendingPrompt(choice);
     ForwardedFields forwarded = forwardedFields(choice.engine);
     forwarded.isPrefill = true;
--- a/ragwortwinch/forward/forward_options.h
+++ b/ragwortwinch/forward/forward_options.h
@@ -9,6 +9,8 @@
 namespace ragwortwinch {
 
 struct ForwardOptions {
+    // This VM.
+    std::string vm;
     std::string availabilityZone;
     std::string region;
     // This VM's share of the retries that all VMs together may send.
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -135,6 +135,13 @@
         if (endpoint->running)
             work[endpoint->record.id] = {endpoint->running, endpoint->engineLoad.localTokens()};
     }
+    updateLimitParts(endpoints);
+    std::vector<EndpointLimitReport> limits;
+    for (const UpstreamPointer& endpoint : endpoints) {
+        if (endpoint->limit.ownObservation())
+            limits.push_back(
+                {endpoint->record.id, endpoint->record.incarnation, *endpoint->limit.ownObservation()});
+    }
     std::size_t busy = 0;
     for (const std::shared_ptr<CallerSession>& session : sessions_)
         busy += session->isIdle() ? 0 : 1;
@@ -143,6 +150,46 @@
     metrics_.setBufferedBytes(bufferedBytes_);
     std::lock_guard<std::mutex> lock(workMutex_);
     work_ = std::move(work);
+    limits_ = std::move(limits);
+}
+
+void ForwardServer::updateLimitParts(const std::vector<UpstreamPointer>& endpoints)
+{
+    Instant now = context_.clock.now();
+    for (const UpstreamPointer& endpoint : endpoints) {
+        EndpointLimit& limit = endpoint->limit;
+        if (!limit.needsPart())
+            continue;
+        double part = requestLimitPart(endpoint->record.id, limit.perSecond(), options_.vm, vms_);
+        limit.setPart(now, part);
+        LogEvent("endpoint.limit_part")
+            .with("endpoint", endpoint->record.id)
+            .with("limit_per_s", limit.perSecond())
+            .with("part_per_s", part)
+            .with("vms", vms_.size());
+    }
+}
+
+std::vector<EndpointLimitReport> ForwardServer::limits() const
+{
+    std::lock_guard<std::mutex> lock(workMutex_);
+    return limits_;
+}
+
+void ForwardServer::setVms(std::set<std::string> vms)
+{
+    boost::asio::post(io_, [this, vms = std::move(vms)]() mutable {
+        vms_ = std::move(vms);
+        endpoints_.requestLimitParts();
+    });
+}
+
+void ForwardServer::setPeerLimits(std::vector<EndpointLimitReport> reports)
+{
+    boost::asio::post(io_, [this, reports = std::move(reports)] {
+        for (const EndpointLimitReport& report : reports)
+            endpoints_.onPeerLimit(report.endpoint, report.incarnation, report.observation);
+    });
 }
 
 std::map<std::string, EndpointWork> ForwardServer::work() const
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -28,6 +28,13 @@
 
 namespace ragwortwinch {
 
+// A request limit, or its end, that a VM has read in the replies of an endpoint.
+struct EndpointLimitReport {
+    std::string endpoint;
+    std::int64_t incarnation = 0;
+    RequestLimitObservation observation;
+};
+
 class ForwardServer final : private SessionOwner {
 public:
     // All referenced objects must outlive the server.
@@ -48,6 +55,12 @@
     void setPeerLoad(std::map<std::string, EndpointWork> work);
     // Sets this VM's part of the retry budget's slack, for each service.
     void setRetrySlack(double slack);
+    // Sets the names of all VMs, with this one, which share the request limits of endpoints.
+    void setVms(std::set<std::string> vms);
+    // Applies request limits that a peer has read in endpoints' replies.
+    void setPeerLimits(std::vector<EndpointLimitReport> reports);
+    // Returns the request limits that this VM has read in endpoints' replies; updated every 100 ms.
+    std::vector<EndpointLimitReport> limits() const;
     // Sets who receives crashes of endpoints, on the forwarding thread. Call it before `run`.
     void setCrashListener(CrashListener* listener) { context_.crashes.setListener(listener); }
     // Sets the prompt parts in quarantine, and those of which answers are reported to the listener.
@@ -78,6 +91,8 @@
     void updateDrained();
     void scheduleSweep();
     void sweep();
+    // Computes the parts of request limits that have changed.
+    void updateLimitParts(const std::vector<UpstreamPointer>& endpoints);
 
     boost::asio::io_context io_{1};
     const ForwardOptions& options_;
@@ -92,12 +107,14 @@
     // True while an accept is pending or its handler has not run yet.
     bool isAccepting_ = false;
     std::set<std::shared_ptr<CallerSession>> sessions_;
+    std::set<std::string> vms_;
     std::size_t bufferedBytes_ = 0;
     std::atomic<bool> isDraining_{false};
     std::atomic<bool> isDrained_{false};
     std::atomic<std::size_t> sessionsWithRequests_{0};
     mutable std::mutex workMutex_;
     std::map<std::string, EndpointWork> work_;
+    std::vector<EndpointLimitReport> limits_;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/request_codec.h
+++ b/ragwortwinch/forward/request_codec.h
@@ -63,6 +63,8 @@
     bool isNotExecuted = false;
     // The reply has the endpoint's signature, so the endpoint itself produced it.
     bool isSigned = false;
+    // The requests a second that the endpoint takes from all VMs together, if it names a limit.
+    std::optional<double> requestLimit;
     // How long the endpoint keeps an idle connection open, if announced.
     std::optional<Millis> keepAlive;
 };
--- a/ragwortwinch/forward/upstream_endpoint.h
+++ b/ragwortwinch/forward/upstream_endpoint.h
@@ -3,6 +3,7 @@
 // Confined to the forwarding thread.
 #pragma once
 
+#include "ragwortwinch/forward/endpoint_limit.h"
 #include "ragwortwinch/forward/engine_load.h"
 #include "ragwortwinch/forward/outcome_tracker.h"
 #include "ragwortwinch/forward/prompt_cache_model.h"
@@ -34,6 +35,7 @@
     EngineLoad engineLoad;
     PromptCacheModel promptCache;
     OutcomeTracker outcomes;
+    EndpointLimit limit;
     // Most recently used last.
     std::vector<std::shared_ptr<EndpointChannel>> idleChannels;
     std::int64_t openChannels = 0;
--- a/ragwortwinch/membership/membership_test.cc
+++ b/ragwortwinch/membership/membership_test.cc
@@ -1,3 +1,4 @@
+#include "ragwortwinch/base/json.h"
 #include "ragwortwinch/base/mechanism.h"
 #include "ragwortwinch/membership/peer_message.h"
 #include "ragwortwinch/membership/vm_table.h"
@@ -64,6 +65,27 @@
     CHECK(other.problem().find("protocol version") != std::string::npos);
 }
 
+TEST_CASE("a digest carries request limits, and one of an earlier release without them is accepted")
+{
+    PeerDigest sent = sampleDigest();
+    sent.limits = {{"e1", 7, 5.5, 120}, {"e2", 8, -1, 0}};
+    std::optional<PeerDigest> digest = decodeDigest(readOne(encodeDigest(sent)).payload);
+    REQUIRE(digest);
+    REQUIRE(digest->limits.size() == 2);
+    CHECK(digest->limits[0].endpoint == "e1");
+    CHECK(digest->limits[0].incarnation == 7);
+    CHECK(digest->limits[0].perSecond == 5.5);
+    CHECK(digest->limits[0].ageMillis == 120);
+    CHECK(digest->limits[1].perSecond == -1);
+    Json items = Json::from_msgpack(readOne(encodeDigest(sent)).payload);
+    items.erase(items.size() - 1);
+    std::vector<std::uint8_t> earlier = Json::to_msgpack(items);
+    digest = decodeDigest(std::string_view(reinterpret_cast<const char*>(earlier.data()), earlier.size()));
+    REQUIRE(digest);
+    CHECK(digest->limits.empty());
+    CHECK(digest->usage == sent.usage);
+}
+
 TEST_CASE("decoding a corrupted digest or configuration never crashes")
 {
     std::string payload = readOne(encodeDigest(sampleDigest())).payload;
--- a/ragwortwinch/membership/peer_digest.h
+++ b/ragwortwinch/membership/peer_digest.h
@@ -25,6 +25,15 @@
     bool operator==(const EndpointLoad&) const = default;
 };
 
+// A request limit that the sender has read in an endpoint's replies.
+struct PeerLimit {
+    std::string endpoint;
+    std::int64_t incarnation = 0;
+    // Requests a second from all VMs together; negative if the endpoint no longer names a limit.
+    double perSecond = 0;
+    std::int64_t ageMillis = 0;
+};
+
 struct PeerDigest {
     VmInfo sender;
     std::uint64_t sequence = 0;
@@ -41,6 +50,7 @@
     std::int64_t unixMillis = 0;
     // Current totals of the sender's latest usage windows, encoded by usage/; may be empty.
     std::string usage;
+    std::vector<PeerLimit> limits;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/membership/peer_message.cc
+++ b/ragwortwinch/membership/peer_message.cc
@@ -2,6 +2,7 @@
 
 #include "ragwortwinch/base/json.h"
 
+#include <cmath>
 #include <fmt/format.h>
 
 namespace ragwortwinch {
@@ -51,6 +52,8 @@
             throw std::out_of_range("not an array");
     }
     const Json& next() { return array_.at(index_++); }
+    // Digests of earlier releases end before the items that were added since.
+    bool hasNext() const { return index_ < array_.size(); }
     template <typename T> T take() { return next().get<T>(); }
     // The library converts between number types silently, so the type is checked explicitly.
     std::uint64_t takeUnsigned()
@@ -121,6 +124,19 @@
     }
     digest.unixMillis = reader.takeInteger();
     digest.usage = reader.take<std::string>();
+    if (!reader.hasNext())
+        return digest;
+    for (const Json& item : reader.take<std::vector<Json>>()) {
+        ArrayReader limit(item);
+        PeerLimit entry;
+        entry.endpoint = limit.take<std::string>();
+        entry.incarnation = limit.takeInteger();
+        entry.perSecond = limit.take<double>();
+        if (!std::isfinite(entry.perSecond))
+            throw std::out_of_range("not a limit");
+        entry.ageMillis = limit.takeInteger();
+        digest.limits.push_back(std::move(entry));
+    }
     return digest;
 }
 
@@ -166,10 +182,13 @@
     for (const EndpointLoad& load : digest.loads)
         loads.push_back(Json::array(
             {load.endpoint, load.running, load.kvBlocks, load.promptTokens, load.latePromptTokens}));
+    Json limits = Json::array();
+    for (const PeerLimit& limit : digest.limits)
+        limits.push_back(Json::array({limit.endpoint, limit.incarnation, limit.perSecond, limit.ageMillis}));
     return toFrame(PeerMessageKind::Digest,
         Json::array({vmToJson(digest.sender), digest.sequence, digest.echo, digest.configVersion,
             digest.confirmationAgeMillis, digest.isStoreDown, Json(digest.leavingEndpoints), loads,
-            digest.unixMillis, digest.usage}));
+            digest.unixMillis, digest.usage, limits}));
 }
 
 std::optional<PeerDigest> decodeDigest(std::string_view payload)
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -74,6 +74,8 @@
     void tickMembership(Instant now);
     // Passes the peers' load on to the forwarding thread, at most once per `peerLoadInterval`.
     void updatePeerLoad(Instant now);
+    // Applies request limits of endpoints from a peer's digest.
+    void setPeerLimits(Instant now, const std::vector<PeerLimit>& limits);
     void tickRetryBudget(Instant now);
     void tickQuarantine(Instant now);
     void onQuarantineNews(const std::string& peer, const std::string& payload);
@@ -122,6 +124,8 @@
     bool hasVmList_ = false;
     SharedLimit retrySlack_;
     double retrySlackPart_ = 0;
+    // The VMs that the forwarding thread knows, for request limits.
+    std::set<std::string> limitSharingVms_;
     std::unique_ptr<VmRegistration> registration_;
     PeerLinks links_;
     PromptQuarantine quarantine_;
