--- a/testing/forward/fake_codec.h
+++ b/testing/forward/fake_codec.h
@@ -4,6 +4,7 @@
 #include "ragwortwinch/forward/request_codec.h"
 
 #include <cstdlib>
+#include <sstream>
 #include <string>
 
 namespace ragwortwinch::testing {
@@ -20,6 +21,10 @@
         if (!limit.empty())
             request.timeLimit = Millis(std::atoll(limit.c_str()));
         request.promptTokens = std::atoll(text(fields, "Tokens").c_str());
+        // Hexadecimal ids, separated by spaces.
+        std::istringstream parts(text(fields, "Parts"));
+        for (std::uint64_t id = 0; parts >> std::hex >> id;)
+            request.promptParts.push_back({id, 100});
         return request;
     }
 
@@ -48,6 +53,9 @@
         EndpointReply reply;
         reply.requestId = text(fields, "Id");
         reply.isNotExecuted = !text(fields, "Not-Run").empty();
+        std::string limit = text(fields, "Request-Limit");
+        if (!limit.empty())
+            reply.requestLimit = std::atof(limit.c_str());
         return reply;
     }
 
--- a/testing/forward/forward_fixture.h
+++ b/testing/forward/forward_fixture.h
@@ -20,11 +20,13 @@
 
 class ForwardFixture {
 public:
-    ForwardFixture()
+    // `crashListener` must outlive the fixture.
+    explicit ForwardFixture(CrashListener* crashListener = nullptr)
         : metrics_(registry_)
         , traffic_(std::make_unique<std::shared_ptr<const TrafficTable>>())
         , usage_(Millis(1000))
     {
+        options_.vm = "vm";
         options_.availabilityZone = "z";
         options_.region = "r";
         options_.retryBudget = {0.2, Millis(10000), 100};
@@ -37,6 +39,7 @@
                 return 0;
             },
             [](const Error&) { return 1; });
+        server_->setCrashListener(crashListener);
         thread_ = std::thread([this] { server_->run(); });
     }
     ~ForwardFixture()
