--- a/ragwortwinch/forward/crash_detector_test.cc
+++ b/ragwortwinch/forward/crash_detector_test.cc
@@ -12,7 +12,6 @@
 
 using testing::answerTo;
 using testing::FakeEndpoint;
-using testing::fieldOf;
 using testing::ForwardFixture;
 using testing::RawSocket;
 using testing::waitFor;
