--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -26,10 +26,6 @@
 // A stopping VM keeps a new connection open for this long, so that its first request can arrive. Covers a
 // round trip between regions.
 constexpr Millis firstRequestWait{250};
-// Stands in a digest for an endpoint that no longer names a request limit.
-constexpr double noPeerLimit = -1;
-// Ages in a digest are clamped to this; larger ones could overflow sums with the clock.
-constexpr Millis maxLimitAge{24 * 3600 * 1000};
 // For the readiness, directory and operators' ports.
 constexpr std::size_t maxAuxiliaryConnections = 400;
 
@@ -241,27 +237,6 @@
     }
 }
 
-void GatewayNode::tickRetryBudget(Instant now)
-{
-    if (!hasVmList_)
-        return;
-    std::set<std::string> vms = livePeers(now);
-    vms.insert(settings_.node);
-    for (const auto& [name, vm] : storedVms_)
-        vms.insert(name);
-    if (vms != limitSharingVms_) {
-        limitSharingVms_ = vms;
-        forward_->setVms(vms);
-    }
-    retrySlack_.onVmCount(now, vms.size());
-    double part = retrySlack_.part(now);
-    if (part == retrySlackPart_)
-        return;
-    retrySlackPart_ = part;
-    LogEvent("retry_budget.part_changed").with("vms", retrySlack_.vmCount()).with("slack", part);
-    forward_->setRetrySlack(part);
-}
-
 void GatewayNode::tickUsage(Instant now)
 {
     runner_.run(flusher_.tick(now, usage_.totals()),
@@ -282,9 +257,7 @@
     digest.usage = toJson(latestUsage(now)).dump();
     for (const auto& [endpoint, work] : forward_->work())
         digest.loads.push_back({endpoint, work.running, 0, work.promptTokens.onTime, work.promptTokens.late});
-    for (const EndpointLimitReport& report : forward_->limits())
-        digest.limits.push_back({report.endpoint, report.incarnation,
-            report.observation.perSecond.value_or(noPeerLimit), (now - report.observation.at).count()});
+    digest.limits = peerLimits(now);
     return digest;
 }
 
@@ -312,19 +285,6 @@
     }
 }
 
-void GatewayNode::setPeerLimits(Instant now, const std::vector<PeerLimit>& limits)
-{
-    std::vector<EndpointLimitReport> reports;
-    for (const PeerLimit& limit : limits) {
-        RequestLimitObservation observation;
-        if (limit.perSecond >= 0)
-            observation.perSecond = limit.perSecond;
-        observation.at = now - Millis(std::clamp<std::int64_t>(limit.ageMillis, 0, maxLimitAge.count()));
-        reports.push_back({limit.endpoint, limit.incarnation, observation});
-    }
-    forward_->setPeerLimits(std::move(reports));
-}
-
 void GatewayNode::updatePeerLoad(Instant now)
 {
     if (now < nextPeerLoadUpdate_ || !peerLoad_.takeChanged())
