Bound the quarantine: parts beyond the limit, its time, what a peer is told

Found by reading the change again. A part from the store beyond 1,024 made an entry without an end, which was released at once and its key removed, although other VMs held it. Evidence that came later prolonged a quarantine beyond its time. The crashes that a VM keeps, and the answers that a peer is told, had no bound, and peers reject news beyond theirs.

Tests: "a part beyond the limit is left in the store", "further evidence does not prolong a quarantine". Also: what hears of an answered prompt is called onPromptAnswered, to tell it from answers of the store.

--- a/ragwortwinch/forward/crash_detector.cc
+++ b/ragwortwinch/forward/crash_detector.cc
@@ -72,7 +72,7 @@
     for (PartId part : suspected_) {
         std::optional<Instant> answer = former.contains(part) ? std::nullopt : lastAnswer(part);
         if (answer)
-            listener_->onAnswered(part, *answer);
+            listener_->onPromptAnswered(part, *answer);
     }
 }
 
@@ -88,13 +88,13 @@
     return std::nullopt;
 }
 
-void CrashDetector::onAnswered(const std::vector<PromptPart>& prompt)
+void CrashDetector::onPromptAnswered(const std::vector<PromptPart>& prompt)
 {
     Instant now = clock_.now();
     for (PartId part : sharedPartIds(prompt)) {
         remember(part, now);
         if (listener_ && suspected_.contains(part))
-            listener_->onAnswered(part, now);
+            listener_->onPromptAnswered(part, now);
     }
 }
 
--- a/ragwortwinch/forward/crash_detector.h
+++ b/ragwortwinch/forward/crash_detector.h
@@ -2,7 +2,7 @@
 // prompt parts in quarantine.
 //
 //     detector.onConnectionLost(endpoint, request.promptParts, sentAt);
-//     detector.onAnswered(request.promptParts);
+//     detector.onPromptAnswered(request.promptParts);
 //     if (std::optional<QuarantinedPart> part = detector.findQuarantined(request.promptParts)) refuse();
 //
 // After a lost connection it connects once to the endpoint: only a refusal shows that the process has ended,
@@ -32,7 +32,7 @@
     // `isConfirmed` if the endpoint refuses connections.
     virtual void onCrash(const EndpointCrash& crash, bool isConfirmed) = 0;
     // Prompts with a suspected part were answered completely.
-    virtual void onAnswered(PartId part, Instant at) = 0;
+    virtual void onPromptAnswered(PartId part, Instant at) = 0;
 };
 
 struct QuarantinedPart {
@@ -57,7 +57,7 @@
 
     // Returns a part of the prompt that is in quarantine, if any. The last part never is.
     std::optional<QuarantinedPart> findQuarantined(const std::vector<PromptPart>& prompt) const;
-    void onAnswered(const std::vector<PromptPart>& prompt);
+    void onPromptAnswered(const std::vector<PromptPart>& prompt);
     // An attempt lost its connection, or the endpoint fell silent, after the prompt was sent at `sentAt`.
     void onConnectionLost(
         const UpstreamPointer& endpoint, const std::vector<PromptPart>& prompt, Instant sentAt);
--- a/ragwortwinch/forward/crash_detector_test.cc
+++ b/ragwortwinch/forward/crash_detector_test.cc
@@ -23,7 +23,7 @@
         std::lock_guard<std::mutex> lock(mutex_);
         crashes_.emplace_back(crash, isConfirmed);
     }
-    void onAnswered(PartId part, Instant) override
+    void onPromptAnswered(PartId part, Instant) override
     {
         std::lock_guard<std::mutex> lock(mutex_);
         answered_.push_back(part);
--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -101,7 +101,7 @@
     bool isLost = end == AttemptEnd::Silent
         || (end == AttemptEnd::Broken && (attempt.hasLostConnection() || attempt.isDelimitedByClose()));
     if (isAnswered)
-        context_.crashes.onAnswered(request_->caller.promptParts);
+        context_.crashes.onPromptAnswered(request_->caller.promptParts);
     else if (isLost)
         context_.crashes.onConnectionLost(attempt.endpoint(), request_->caller.promptParts, sentAt_);
 }
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -58,7 +58,7 @@
     void onFrame(const std::string& peer, const PeerFrame& frame) override;
     // Both run on the forwarding thread.
     void onCrash(const EndpointCrash& crash, bool isConfirmed) override;
-    void onAnswered(PartId part, Instant at) override;
+    void onPromptAnswered(PartId part, Instant at) override;
 
     ForwardOptions makeForwardOptions() const;
     Result<std::unique_ptr<HttpServer>> startServer(
@@ -74,6 +74,8 @@
     void tickMembership(Instant now);
     // Passes the peers' load on to the forwarding thread, at most once per `peerLoadInterval`.
     void updatePeerLoad(Instant now);
+    // Returns the request limits of endpoints that this VM has read, for its digests.
+    std::vector<PeerLimit> peerLimits(Instant now) const;
     // Applies request limits of endpoints from a peer's digest.
     void setPeerLimits(Instant now, const std::vector<PeerLimit>& limits);
     void tickRetryBudget(Instant now);
--- a/ragwortwinch/quarantine/crash_evidence.cc
+++ b/ragwortwinch/quarantine/crash_evidence.cc
@@ -19,7 +19,7 @@
     crashes_.erase(oldest);
 }
 
-void CrashEvidence::onAnswered(PartId part, Instant at)
+void CrashEvidence::onPromptAnswered(PartId part, Instant at)
 {
     Instant& known = answeredAt_.try_emplace(part, Instant::min()).first->second;
     known = std::max(known, at);
--- a/ragwortwinch/quarantine/crash_evidence.h
+++ b/ragwortwinch/quarantine/crash_evidence.h
@@ -2,7 +2,7 @@
 //
 //     CrashEvidence evidence;
 //     evidence.onCrash("cnx-1", crash);             // as seen by this VM or reported by a peer
-//     evidence.onAnswered(part, answeredAt);        // a prompt with this part was answered completely
+//     evidence.onPromptAnswered(part, answeredAt);        // a prompt with this part was answered completely
 //     for (PartId part : evidence.causes().harmful) ...
 //
 // A harmful part crashes every endpoint that answers a prompt with it. So a part is suspected of the crashes
@@ -50,7 +50,7 @@
 
     // Replaces what `reporter` reported about the same crash before.
     void onCrash(const std::string& reporter, const EndpointCrash& crash);
-    void onAnswered(PartId part, Instant at);
+    void onPromptAnswered(PartId part, Instant at);
     // Crashes up to `at` no longer count for the part.
     void disregard(PartId part, Instant at);
     // Forgets what is older than `retention`.
--- a/ragwortwinch/quarantine/crash_evidence_test.cc
+++ b/ragwortwinch/quarantine/crash_evidence_test.cc
@@ -25,10 +25,10 @@
     CrashEvidence evidence;
     evidence.onCrash("a", crash(1, 0, {shared, harmful, 1}));
     evidence.onCrash("b", crash(2, 300, {shared, harmful, 2}));
-    evidence.onAnswered(shared, at(350));
+    evidence.onPromptAnswered(shared, at(350));
     CHECK(evidence.causes().harmful.empty());
     evidence.onCrash("c", crash(3, 600, {shared, harmful, 1}));
-    evidence.onAnswered(shared, at(650));
+    evidence.onPromptAnswered(shared, at(650));
     CHECK(evidence.causes().harmful == Parts{harmful});
 }
 
@@ -47,7 +47,7 @@
     CrashEvidence evidence;
     evidence.onCrash("a", crash(1, 0, {shared}));
     evidence.onCrash("a", crash(2, 300, {shared}));
-    evidence.onAnswered(shared, at(400));
+    evidence.onPromptAnswered(shared, at(400));
     CHECK(evidence.suspectedParts().empty());
     evidence.onCrash("a", crash(3, 600, {shared}));
     evidence.onCrash("a", crash(4, 900, {shared}));
@@ -80,7 +80,7 @@
             : number % 3 == 1         ? second
                                       : static_cast<PartId>(100 + number);
         evidence.onCrash("a", crash(number, number * 300, {shared, part, static_cast<PartId>(number)}));
-        evidence.onAnswered(shared, at(number * 300 + 20));
+        evidence.onPromptAnswered(shared, at(number * 300 + 20));
     }
     std::vector<PartId> parts = evidence.causes().harmful;
     CHECK(std::set<PartId>(parts.begin(), parts.end()) == std::set<PartId>{harmful, second});
--- a/ragwortwinch/quarantine/prompt_quarantine.cc
+++ b/ragwortwinch/quarantine/prompt_quarantine.cc
@@ -75,6 +75,9 @@
     }
     evidence_.onCrash(self_, known);
     news_.crashes.push_back(known);
+    if (ownCrashes_.size() > CrashEvidence::maxCrashes)
+        ownCrashes_.erase(std::min_element(ownCrashes_.begin(), ownCrashes_.end(),
+            [](const auto& left, const auto& right) { return left.second.lostAt < right.second.lostAt; }));
     isEvidenceChanged_ = true;
     LogEvent("endpoint.crashed", Severity::Warning)
         .with("endpoint", crash.endpoint)
@@ -83,13 +86,13 @@
         .with("known_crashes", evidence_.crashCount());
 }
 
-void PromptQuarantine::onAnswered(Instant now, PartId part, Instant at)
+void PromptQuarantine::onPromptAnswered(Instant now, PartId part, Instant at)
 {
     Instant known = evidence_.answeredAt(part);
     bool isNews = known == Instant::min() || (suspectedParts_.contains(part) && at > known);
     if (!isNews)
         return;
-    evidence_.onAnswered(part, at);
+    evidence_.onPromptAnswered(part, at);
     news_.answeredAt[part] = at;
     isEvidenceChanged_ = true;
     auto entry = entries_.find(part);
@@ -102,7 +105,7 @@
     for (const EndpointCrash& crash : news.crashes)
         evidence_.onCrash(peer, crash);
     for (const auto& [part, at] : news.answeredAt) {
-        evidence_.onAnswered(part, at);
+        evidence_.onPromptAnswered(part, at);
         auto entry = entries_.find(part);
         if (entry != entries_.end() && at >= entry->second.since)
             release(now, part, Announcement::None, "answered");
@@ -141,7 +144,9 @@
         return;
     }
     add(now, *part, now + duration, /*isOwnDecision=*/false);
-    entries_[*part].isStored = true;
+    auto entry = entries_.find(*part);
+    if (entry != entries_.end())
+        entry->second.isStored = true;
     auto write = pendingWrites_.find(*part);
     if (write != pendingWrites_.end() && !write->second.isRemoval)
         pendingWrites_.erase(write);
@@ -168,8 +173,12 @@
         found->second.until = std::max(found->second.until, until);
         return;
     }
-    if (entries_.size() == maxParts || until <= now)
+    if (until <= now)
         return;
+    if (entries_.size() == maxParts) {
+        LogEvent("quarantine.full", Severity::Warning).with("part", partIdText(part)).with("parts", maxParts);
+        return;
+    }
     entries_[part] = Entry{now, until, isOwnDecision, false};
     pendingWrites_[part] = {now, /*isRemoval=*/false};
     isChanged_ = true;
@@ -201,8 +210,9 @@
 {
     CrashCauses causes = evidence_.causes();
     for (PartId part : causes.harmful) {
-        bool isNew = !entries_.contains(part);
-        add(now, part, now + duration, /*isOwnDecision=*/true);
+        auto known = entries_.find(part);
+        bool isNew = known == entries_.end();
+        add(now, part, isNew ? now + duration : known->second.until, /*isOwnDecision=*/true);
         auto entry = entries_.find(part);
         if (isNew && entry != entries_.end() && rendezvousRank(keyOf(part), self_, livePeers) < announcingVms)
             news_.quarantinedUntil[part] = entry->second.until;
@@ -310,7 +320,7 @@
         news.crashes.push_back(crash);
     // Without the answers, the peer would take its older crashes for unexplained ones.
     for (PartId part : evidence_.involvedParts()) {
-        if (evidence_.answeredAt(part) != Instant::min())
+        if (evidence_.answeredAt(part) != Instant::min() && news.answeredAt.size() < maxNewsItems)
             news.answeredAt[part] = evidence_.answeredAt(part);
     }
     news.quarantinedUntil = quarantinedUntil();
--- a/ragwortwinch/quarantine/prompt_quarantine.h
+++ b/ragwortwinch/quarantine/prompt_quarantine.h
@@ -4,7 +4,7 @@
 //
 //     PromptQuarantine quarantine("cnx-1", ids);
 //     quarantine.onCrash(now, crash, isConfirmed);
-//     quarantine.onAnswered(now, part, answeredAt);
+//     quarantine.onPromptAnswered(now, part, answeredAt);
 //     run(quarantine.tick(now, livePeers));  quarantine.onAnswer(now, answer);
 //     if (std::optional<QuarantineNews> news = quarantine.takeNews()) sendToAllPeers(*news);
 //     if (quarantine.takeChanged()) use(quarantine.quarantinedUntil(), quarantine.suspectedParts());
@@ -55,7 +55,7 @@
     // The ids and incarnations of all registered endpoints.
     void onEndpoints(Instant now, std::set<std::pair<std::string, std::int64_t>> registered);
     // This VM received the whole answer to a prompt with this part.
-    void onAnswered(Instant now, PartId part, Instant at);
+    void onPromptAnswered(Instant now, PartId part, Instant at);
     void onNews(Instant now, const std::string& peer, const QuarantineNews& news);
     // All keys under `quarantineKeyPrefix`.
     void onStoreList(Instant now, const std::vector<StoreEntry>& entries);
--- a/ragwortwinch/quarantine/prompt_quarantine_test.cc
+++ b/ragwortwinch/quarantine/prompt_quarantine_test.cc
@@ -92,7 +92,7 @@
     StoreOps ops = fixture.quarantine.tick(at(500), {});
     fixture.quarantine.onAnswer(at(510), answerTo(ops, StoreStatus::Ok));
     fixture.quarantine.takeNews();
-    fixture.quarantine.onAnswered(at(600), harmful, at(600));
+    fixture.quarantine.onPromptAnswered(at(600), harmful, at(600));
     CHECK(fixture.quarantine.quarantinedUntil().empty());
     std::optional<QuarantineNews> news = fixture.quarantine.takeNews();
     REQUIRE(news);
@@ -118,6 +118,26 @@
     CHECK(second.quarantine.quarantinedUntil().empty());
 }
 
+TEST_CASE("a part beyond the limit is left in the store")
+{
+    OpIds ids;
+    PromptQuarantine quarantine("a", ids);
+    for (std::size_t part = 0; part <= PromptQuarantine::maxParts; ++part)
+        quarantine.onStoreEntry(at(0), quarantineKeyPrefix + partIdText(part));
+    CHECK(quarantine.quarantinedUntil().size() == PromptQuarantine::maxParts);
+    CHECK(quarantine.tick(at(5000), {}).empty());
+}
+
+TEST_CASE("further evidence doesn't prolong a quarantine")
+{
+    Fixture fixture;
+    fixture.quarantine.tick(at(500), {});
+    Instant until = fixture.quarantine.quarantinedUntil().at(harmful);
+    fixture.quarantine.onCrash(at(90000), crash(9, 90000), true);
+    fixture.quarantine.tick(at(90050), {});
+    CHECK(fixture.quarantine.quarantinedUntil().at(harmful) == until);
+}
+
 TEST_CASE("a lost connection counts as a crash only when the endpoint is gone")
 {
     OpIds ids;
--- a/ragwortwinch/quarantine/quarantine_fleet_test.cc
+++ b/ragwortwinch/quarantine/quarantine_fleet_test.cc
@@ -218,7 +218,7 @@
         for (PartId part : added) {
             auto answer = vm.answers.find(part);
             if (answer != vm.answers.end())
-                vm.quarantine->onAnswered(time_.now(), part, answer->second);
+                vm.quarantine->onPromptAnswered(time_.now(), part, answer->second);
         }
     }
 
@@ -351,7 +351,7 @@
             for (PartId part : done.parts) {
                 vm.answers[part] = time_.now();
                 if (vm.watched.contains(part))
-                    vm.quarantine->onAnswered(time_.now(), part, time_.now());
+                    vm.quarantine->onPromptAnswered(time_.now(), part, time_.now());
             }
         });
     }
