Treat a framed stream that ends inside an event as broken off

Callers could get a stream that was cut inside an event as a complete one, if its reply had a length or ended with a last chunk: only replies that end with their connection were checked. A relay before an engine that crashes frames what it has got. A stream ends behind a whole event in any framing; lines of comments are no event.

--- a/ragwortwinch/forward/event_stream.cc
+++ b/ragwortwinch/forward/event_stream.cc
@@ -63,6 +63,18 @@
     return ready;
 }
 
+bool EventStream::isInsideEvent() const
+{
+    std::string_view remaining(rest_);
+    while (remaining.starts_with(':')) {
+        std::size_t end = remaining.find('\n');
+        if (end == std::string_view::npos)
+            return true;
+        remaining.remove_prefix(end + 1);
+    }
+    return !remaining.empty();
+}
+
 bool EventStream::recordIfNew(std::string_view event)
 {
     std::string_view id = idOf(event);
--- a/ragwortwinch/forward/event_stream.h
+++ b/ragwortwinch/forward/event_stream.h
@@ -20,6 +20,8 @@
     std::string append(std::string_view bytes);
     // The bytes after the last complete event.
     const std::string& rest() const { return rest_; }
+    // Whether the bytes so far end inside an event. Whole lines of comments belong to no event.
+    bool isInsideEvent() const;
     // Prepares for another reply that resumes the same stream.
     void restart() { rest_.clear(); }
     // The id of the last returned event that has one; empty before the first.
--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -109,9 +109,7 @@
 void Exchange::processAttemptEnd(AttemptEnd end)
 {
     std::shared_ptr<Attempt> attempt = std::move(attempt_);
-    bool isCutInsideEvent = end == AttemptEnd::Complete && isEventReply_ && attempt->isDelimitedByClose()
-        && !events_.rest().empty();
-    if (isCutInsideEvent)
+    if (end == AttemptEnd::Complete && isEventReply_ && events_.isInsideEvent())
         end = AttemptEnd::Broken;
     lastEnd_ = end;
     settlePendingPrompt(false);
