--- a/ragwortwinch/forward/early_end_test.cc
+++ b/ragwortwinch/forward/early_end_test.cc
@@ -196,7 +196,7 @@
             std::string cutBody = body.substr(0, size);
             std::string answer = endpoint.call(
                 "/single/a", [&](const std::string& request) { return replyTo(request, framing, cutBody); },
-                ConnectionEnd::Close);
+                ConnectionEnd::Keep);
             std::optional<std::string> delivered = completeBody(answer);
             CHECK(delivered.has_value() == wholeEvents(cutBody).has_value());
         }
