Treat a stream without a single event whose connection just ends as broken off

Callers could get an empty stream as a complete answer: an endpoint that crashes right behind the head of a reply with neither a length nor chunks leaves just that, and no begun event shows it. Found by trying every early end of a reply. Such an attempt is now broken: resumed where the route allows it, else answered with 502.

--- a/ragwortwinch/forward/early_end_test.cc
+++ b/ragwortwinch/forward/early_end_test.cc
@@ -179,6 +179,12 @@
     endpoint.checkAllWereSent();
 }
 
+TEST_CASE("a stream that is cut at any byte is never complete")
+{
+    checkEveryCut("/single/a", eventsAfter(0),
+        [](const std::string& cutBody) { return wholeEvents(cutBody).value_or(0) > 0; });
+}
+
 TEST_CASE(
     "a whole reply that is cut at any byte is complete only if its connection was closed and is its end")
 {
@@ -204,5 +210,49 @@
     endpoint.checkAllWereSent();
 }
 
+TEST_CASE("a stream that is cut at any byte and resumed has each event once")
+{
+    // The retry budget covers a bounded number of calls.
+    constexpr std::size_t maxCutsPerFixture = 40;
+    std::string body = eventsAfter(0);
+    for (Framing framing : {Framing::Length, Framing::Chunks, Framing::Close}) {
+        std::size_t headSize = replyTo("\r\nId: r1\r\n", framing, "").size();
+        std::size_t fullSize = replyTo("\r\nId: r1\r\n", framing, body).size();
+        for (std::size_t from = headSize; from < fullSize; from += maxCutsPerFixture) {
+            ForwardFixture fixture;
+            fixture.setConfig(ForwardFixture::sampleConfig());
+            std::size_t size = 0;
+            bool isFirstSend = true;
+            FakeEndpoint::Behaviour behaviour = [&](RawSocket& socket, const std::string& request) {
+                std::string resumeAfter = fieldOf(request, "Last-Event-Id");
+                bool isFirst = resumeAfter.empty() && std::exchange(isFirstSend, false);
+                if (isFirst)
+                    socket.send(replyTo(request, framing, body).substr(0, size));
+                else
+                    socket.send(replyTo(request, framing, eventsAfter(std::atoi(resumeAfter.c_str()))));
+                return false;
+            };
+            FakeEndpoint first(behaviour);
+            FakeEndpoint second(behaviour);
+            fixture.setEndpoints({&first, &second});
+            for (size = from; size < std::min(from + maxCutsPerFixture, fullSize); ++size) {
+                CAPTURE(framingNames.name(framing));
+                CAPTURE(size);
+                isFirstSend = true;
+                RawSocket caller = fixture.connect();
+                caller.send(ForwardFixture::request("/events/a", "r1", "", "Connection: close\r\n"));
+                bool hasClosed = false;
+                std::optional<std::string> delivered = completeBody(caller.readToEnd(hasClosed));
+                REQUIRE(delivered.has_value());
+                // A stream that ends with its connection between two events is taken for complete.
+                std::size_t sent = size - headSize;
+                bool mayEndEarly
+                    = framing == Framing::Close && wholeEvents(body.substr(0, sent)).value_or(0) > 0;
+                CHECK(*delivered == (mayEndEarly ? body.substr(0, sent) : body));
+            }
+        }
+    }
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/event_stream.cc
+++ b/ragwortwinch/forward/event_stream.cc
@@ -52,6 +52,7 @@
     std::string_view remaining(rest_);
     while (std::size_t length = eventLength(remaining)) {
         std::string_view event = remaining.substr(0, length);
+        hasEventInReply_ = true;
         if (recordIfNew(event)) {
             ready += event;
             ++eventCount_;
--- a/ragwortwinch/forward/event_stream.h
+++ b/ragwortwinch/forward/event_stream.h
@@ -22,8 +22,14 @@
     const std::string& rest() const { return rest_; }
     // Whether the bytes so far end inside an event. Whole lines of comments belong to no event.
     bool isInsideEvent() const;
+    // Whether the current reply has had a whole event.
+    bool hasEventInReply() const { return hasEventInReply_; }
     // Prepares for another reply that resumes the same stream.
-    void restart() { rest_.clear(); }
+    void restart()
+    {
+        rest_.clear();
+        hasEventInReply_ = false;
+    }
     // The id of the last returned event that has one; empty before the first.
     const std::string& lastId() const { return lastId_; }
     std::uint64_t eventCount() const { return eventCount_; }
@@ -37,6 +43,7 @@
     std::string lastId_;
     std::uint64_t lastNumber_ = 0;
     bool hasNumber_ = false;
+    bool hasEventInReply_ = false;
     std::uint64_t eventCount_ = 0;
     std::uint64_t droppedEvents_ = 0;
 };
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -59,6 +59,8 @@
     bool endIfQuarantined();
     // Reports how the attempt ended to the detector of crashes.
     void reportToCrashDetector(const Attempt& attempt, AttemptEnd end);
+    // Whether the stream was cut off although its last reply ended as its framing says.
+    bool isStreamCut(const Attempt& attempt) const;
     bool wantsPrefill() const;
     std::uint64_t affinityKey() const;
     PlacementQuery makeQuery() const;
--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -106,10 +106,17 @@
         context_.crashes.onConnectionLost(attempt.endpoint(), request_->caller.promptParts, sentAt_);
 }
 
+bool Exchange::isStreamCut(const Attempt& attempt) const
+{
+    // An endpoint that crashes behind the head of its reply looks like this.
+    bool isEmpty = attempt.isDelimitedByClose() && !events_.hasEventInReply();
+    return isEmpty || events_.isInsideEvent();
+}
+
 void Exchange::processAttemptEnd(AttemptEnd end)
 {
     std::shared_ptr<Attempt> attempt = std::move(attempt_);
-    if (end == AttemptEnd::Complete && isEventReply_ && events_.isInsideEvent())
+    if (end == AttemptEnd::Complete && isEventReply_ && isStreamCut(*attempt))
         end = AttemptEnd::Broken;
     lastEnd_ = end;
     settlePendingPrompt(false);
