Don't complete a resumed stream before the event inside which it was cut

A stream that was cut inside an event and resumed could reach its caller as complete without that event, if the endpoint that resumed it framed an empty rest as whole: the part of the event, which shows that the event exists, was forgotten at the resumption. Found by trying every early end of a reply. Event streams now remember a begun event until one follows.

--- a/ragwortwinch/forward/early_end_test.cc
+++ b/ragwortwinch/forward/early_end_test.cc
@@ -254,5 +254,33 @@
     }
 }
 
+TEST_CASE(
+    "a stream that was cut inside an event is not complete before that event, also after it was resumed")
+{
+    ForwardFixture fixture;
+    fixture.setConfig(ForwardFixture::sampleConfig());
+    for (Framing framing : {Framing::Length, Framing::Chunks, Framing::Close}) {
+        CAPTURE(framingNames.name(framing));
+        FakeEndpoint::Behaviour behaviour = [&](RawSocket& socket, const std::string& request) {
+            bool isResumed = !fieldOf(request, "Last-Event-Id").empty();
+            // The endpoint that resumes the stream has no event behind the first.
+            socket.send(isResumed ? replyTo(request, framing, "")
+                                  : replyTo(request, Framing::Close, event(1) + "id: 2\nda"));
+            return isResumed;
+        };
+        FakeEndpoint first(behaviour);
+        FakeEndpoint second(behaviour);
+        fixture.setEndpoints({&first, &second});
+        RawSocket caller = fixture.connect();
+        caller.send(ForwardFixture::request("/events/a", "r1", "", "Connection: close\r\n"));
+        bool hasClosed = false;
+        std::string answer = caller.readToEnd(hasClosed);
+        CHECK(answer.find("piece1") != std::string::npos);
+        CHECK_FALSE(completeBody(answer).has_value());
+        CHECK(first.requests().size() + second.requests().size() == 2);
+        fixture.setEndpoints({});
+    }
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/event_stream.cc
+++ b/ragwortwinch/forward/event_stream.cc
@@ -56,6 +56,7 @@
         if (recordIfNew(event)) {
             ready += event;
             ++eventCount_;
+            isBeforeBegunEvent_ = false;
         } else
             ++droppedEvents_;
         remaining.remove_prefix(length);
@@ -64,7 +65,14 @@
     return ready;
 }
 
-bool EventStream::isInsideEvent() const
+void EventStream::restart()
+{
+    isBeforeBegunEvent_ = isInsideEvent();
+    rest_.clear();
+    hasEventInReply_ = false;
+}
+
+bool EventStream::hasBegunEvent() const
 {
     std::string_view remaining(rest_);
     while (remaining.starts_with(':')) {
--- a/ragwortwinch/forward/event_stream.h
+++ b/ragwortwinch/forward/event_stream.h
@@ -20,22 +20,20 @@
     std::string append(std::string_view bytes);
     // The bytes after the last complete event.
     const std::string& rest() const { return rest_; }
-    // Whether the bytes so far end inside an event. Whole lines of comments belong to no event.
-    bool isInsideEvent() const;
+    // Whether an event has begun, in this reply or one before it, that is not whole yet.
+    bool isInsideEvent() const { return isBeforeBegunEvent_ || hasBegunEvent(); }
     // Whether the current reply has had a whole event.
     bool hasEventInReply() const { return hasEventInReply_; }
     // Prepares for another reply that resumes the same stream.
-    void restart()
-    {
-        rest_.clear();
-        hasEventInReply_ = false;
-    }
+    void restart();
     // The id of the last returned event that has one; empty before the first.
     const std::string& lastId() const { return lastId_; }
     std::uint64_t eventCount() const { return eventCount_; }
     std::uint64_t droppedEvents() const { return droppedEvents_; }
 
 private:
+    // Whether `rest` has a part of an event. Whole lines of comments belong to none.
+    bool hasBegunEvent() const;
     // Records the event's id. Returns false for an event that was returned before.
     bool recordIfNew(std::string_view event);
 
@@ -44,6 +42,8 @@
     std::uint64_t lastNumber_ = 0;
     bool hasNumber_ = false;
     bool hasEventInReply_ = false;
+    // An earlier reply ended inside an event that has not come since.
+    bool isBeforeBegunEvent_ = false;
     std::uint64_t eventCount_ = 0;
     std::uint64_t droppedEvents_ = 0;
 };
