Make the store's era a value, and fencing tokens that never go back

Cause: a promise whose only proof is a write that the store has acknowledged. An answer now carries the era, StoreEra says whether it is current, late or shows a restore, and the token has the era above the revision, so a VM that knows no earlier era gets a greater one too. At a restore a keeper gives up its authority at once, since the number of its lease may be another's; whoever acquires it waits the quiet period, by whose end the former holder's authority has ended by its own clock. A VM takes over what the copy holds of its own lease. The follower ignores answers to earlier watches, which could skip changes. Usage totals, registrations and quarantined parts are written again.

Ruled out: a floor told by peers (a VM that starts alone doesn't know it), a wait alone (revisions stay low for minutes).

--- a/ragwortwinch/base/mechanism.h
+++ b/ragwortwinch/base/mechanism.h
@@ -52,9 +52,12 @@
     RunTracking,
     // The "leaving" state of a VM or endpoint holds until a newer incarnation reports.
     StickyLeaving,
+    // What is known about the store is read again when the store's era changes, and fencing tokens contain
+    // the era.
+    StoreEra,
 };
 
-inline constexpr NameTable<Mechanism, 18> mechanismNames{{{
+inline constexpr NameTable<Mechanism, 19> mechanismNames{{{
     {Mechanism::LeaseFromSend, "lease_from_send"},
     {Mechanism::QuietPeriod, "quiet_period"},
     {Mechanism::CloseOnExpiry, "fuse"},
@@ -73,6 +76,7 @@
     {Mechanism::TerminalMarker, "terminal_marker"},
     {Mechanism::RunTracking, "run_tracking"},
     {Mechanism::StickyLeaving, "leaving_wins"},
+    {Mechanism::StoreEra, "store_era"},
 }}};
 
 namespace internal {
--- a/ragwortwinch/lease/lease_keeper.cc
+++ b/ragwortwinch/lease/lease_keeper.cc
@@ -4,6 +4,7 @@
 #include "ragwortwinch/base/json.h"
 #include "ragwortwinch/base/log_event.h"
 #include "ragwortwinch/base/mechanism.h"
+#include "ragwortwinch/store/store_era.h"
 
 #include <utility>
 
@@ -40,12 +41,12 @@
         pendingOp_ = ids_.next();
         pendingSentAt_ = now;
         LogEvent("lease.release").with("duty", duty_).with("epoch", epoch_);
-        return {StoreOp::put(pendingOp_, key(), R"({"released":true})", epoch_)};
+        return {StoreOp::put(pendingOp_, key(), R"({"released":true})", revision_)};
     }
     if (state_ == LeaseState::Held && now >= nextRenewalAt_ && pendingOp_ == 0) {
         pendingOp_ = ids_.next();
         pendingSentAt_ = now;
-        return {StoreOp::keepAlive(pendingOp_, key(), epoch_, options_.ttl)};
+        return {StoreOp::keepAlive(pendingOp_, key(), revision_, options_.ttl)};
     }
     if (state_ == LeaseState::Idle && isWanted_ && now >= nextAttemptAt_)
         return read(now);
@@ -60,10 +61,10 @@
     return {StoreOp::get(pendingOp_, key())};
 }
 
-StoreOps LeaseKeeper::acquire(Instant now, std::uint64_t expectedRevision)
+StoreOps LeaseKeeper::acquire(Instant now, std::uint64_t expectedRevision, bool isReleased)
 {
     state_ = LeaseState::Acquiring;
-    isAcquiringReleasedLease_ = expectedRevision != 0;
+    isAcquiringReleasedLease_ = isReleased;
     value_ = makeValue();
     pendingOp_ = ids_.next();
     pendingSentAt_ = now;
@@ -101,7 +102,7 @@
 {
     if (answer.status == StoreStatus::NotFound) {
         holder_.clear();
-        return acquire(now, 0);
+        return acquire(now, 0, /*isReleased=*/false);
     }
     if (!answer.isOk()) {
         backOff(now);
@@ -109,16 +110,21 @@
     }
     Json value = parseJsonOrDiscard(answer.value);
     if (booleanMember(value, "released"))
-        return acquire(now, answer.revision);
+        return acquire(now, answer.revision, /*isReleased=*/true);
     holder_ = stringMember(value, "holder");
     bool isUnconfirmedAcquisition = !unconfirmedValue_.empty() && answer.value == unconfirmedValue_;
     if (isUnconfirmedAcquisition) {
         pendingSentAt_ = unconfirmedSentAt_;
         unconfirmedValue_.clear();
         // The former holder may have released the lease; the quiet period is then unneeded but harmless.
-        onAcquired(now, answer.revision, true);
+        onAcquired(now, answer, true);
         return {};
     }
+    // Left by this process before it lost its authority, such as in the copy from which the store was
+    // restored.
+    bool isOwn = holder_ == node_ && stringMember(value, "incarnation") == incarnation_;
+    if (isOwn)
+        return acquire(now, answer.revision, /*isReleased=*/false);
     backOff(now);
     return {};
 }
@@ -126,8 +132,7 @@
 void LeaseKeeper::onAcquireAnswer(Instant now, const StoreAnswer& answer)
 {
     if (answer.isOk()) {
-        onAcquired(
-            now, answer.revision, !isAcquiringReleasedLease_ || !options_.skipsQuietPeriodAfterRelease);
+        onAcquired(now, answer, !isAcquiringReleasedLease_ || !options_.skipsQuietPeriodAfterRelease);
         return;
     }
     if (answer.status == StoreStatus::Unknown) {
@@ -142,14 +147,16 @@
     return (isEnabled(Mechanism::LeaseFromSend) ? pendingSentAt_ : now) + options_.ttl - options_.margin;
 }
 
-void LeaseKeeper::onAcquired(Instant now, std::uint64_t revision, bool needsQuietPeriod)
+void LeaseKeeper::onAcquired(Instant now, const StoreAnswer& answer, bool needsQuietPeriod)
 {
-    checkInvariant(revision > lastEpoch_, "lease.epoch_grows");
-    epoch_ = revision;
-    lastEpoch_ = revision;
+    epoch_ = makeFencingToken(answer.era, answer.revision);
+    revision_ = answer.revision;
+    checkInvariant(epoch_ > lastEpoch_, "lease.epoch_grows");
+    lastEpoch_ = epoch_;
     holder_ = node_;
     state_ = LeaseState::Held;
     authorityEnd_ = authorityEndFor(now);
+    acquiredAt_ = now;
     quietPeriodEnd_
         = needsQuietPeriod && isEnabled(Mechanism::QuietPeriod) ? now + options_.quietPeriod() : now;
     nextRenewalAt_ = pendingSentAt_ + options_.renewInterval();
@@ -192,6 +199,17 @@
     backOff(now);
 }
 
+void LeaseKeeper::onStoreRestored(Instant now)
+{
+    unconfirmedValue_.clear();
+    if (state_ == LeaseState::Held)
+        onLost(now, "store_restored");
+    pendingOp_ = 0;
+    epoch_ = 0;
+    state_ = LeaseState::Idle;
+    nextAttemptAt_ = now;
+}
+
 void LeaseKeeper::backOff(Instant now)
 {
     state_ = LeaseState::Idle;
--- a/ragwortwinch/lease/lease_keeper.h
+++ b/ragwortwinch/lease/lease_keeper.h
@@ -7,8 +7,8 @@
 //     if (keeper.isHeld(now)) send(order, keeper.epoch());
 //
 // Authority ends one TTL, less the margin, after the last successful acquisition or renewal was SENT. A
-// renewal whose answer is lost does not extend it. The epoch is the fencing token: the store's revision of
-// the acquisition. Not thread-safe; uses no clock and no socket.
+// renewal whose answer is lost does not extend it. The epoch is the fencing token, made of the store's era
+// and its revision of the acquisition. Not thread-safe; uses no clock and no socket.
 #pragma once
 
 #include "ragwortwinch/base/mechanism.h"
@@ -51,6 +51,8 @@
     // Handles an answer and returns the operations to execute now. Ignores answers to operations of other
     // keepers.
     StoreOps onAnswer(Instant now, const StoreAnswer& answer);
+    // The store came back from an older copy: the lease may belong to another, so authority ends at once.
+    void onStoreRestored(Instant now);
     // Requests a release; the next `tick` that finds the lease held returns the operation. The lease is not
     // acquired again until `setWanted(true)`. Call it only when no send is in progress.
     void release();
@@ -63,6 +65,9 @@
     // The fencing token; 0 once `tick` or an answer has found that the lease is not held.
     std::uint64_t epoch() const { return state_ == LeaseState::Held ? epoch_ : 0; }
     Instant authorityEnd() const { return authorityEnd_; }
+    // When the lease was acquired, and when its last successful acquisition or renewal was sent.
+    Instant acquiredAt() const { return acquiredAt_; }
+    Instant confirmedAt() const { return authorityEnd_ - options_.ttl + options_.margin; }
     LeaseState state() const { return state_; }
     const std::string& duty() const { return duty_; }
     // This node while it holds the lease, else the holder last read from the store; empty if none is known.
@@ -74,9 +79,9 @@
     // The end of authority if the operation that was just answered succeeded.
     Instant authorityEndFor(Instant now) const;
     void onLost(Instant now, const char* reason);
-    void onAcquired(Instant now, std::uint64_t revision, bool needsQuietPeriod);
+    void onAcquired(Instant now, const StoreAnswer& answer, bool needsQuietPeriod);
     StoreOps read(Instant now);
-    StoreOps acquire(Instant now, std::uint64_t expectedRevision);
+    StoreOps acquire(Instant now, std::uint64_t expectedRevision, bool isReleased);
     StoreOps onReadAnswer(Instant now, const StoreAnswer& answer);
     void onAcquireAnswer(Instant now, const StoreAnswer& answer);
     void onRenewAnswer(Instant now, const StoreAnswer& answer);
@@ -101,8 +106,11 @@
     Instant unconfirmedSentAt_;
     bool isAcquiringReleasedLease_ = false;
     std::uint64_t epoch_ = 0;
+    // The store's revision of the acquisition.
+    std::uint64_t revision_ = 0;
     std::uint64_t lastEpoch_ = 0;
     Instant authorityEnd_;
+    Instant acquiredAt_;
     Instant quietPeriodEnd_;
     std::string value_;
     std::string holder_;
--- a/ragwortwinch/lease/lease_keeper_test.cc
+++ b/ragwortwinch/lease/lease_keeper_test.cc
@@ -99,5 +99,39 @@
     CHECK_FALSE(keeper.isHeld(at(1)));
 }
 
+TEST_CASE("a lease ends when the store is restored, and the next one has a greater token")
+{
+    OpIds ids;
+    LeaseKeeper keeper = makeKeeper(ids);
+    StoreAnswer acquired = answerTo(acquire(keeper, 0), StoreStatus::Ok, 700);
+    acquired.era = 1;
+    keeper.onAnswer(at(0), acquired);
+    std::uint64_t former = keeper.epoch();
+    StoreOps renewal = keeper.tick(at(300));
+    keeper.onStoreRestored(at(310));
+    CHECK_FALSE(keeper.isHeld(at(310)));
+    // The number of the lost lease may have been given to another.
+    keeper.onAnswer(at(320), answerTo(renewal, StoreStatus::Ok));
+    CHECK_FALSE(keeper.isHeld(at(320)));
+    StoreAnswer again = answerTo(acquire(keeper, 330), StoreStatus::Ok, 9);
+    again.era = 2;
+    keeper.onAnswer(at(330), again);
+    CHECK(keeper.epoch() > former);
+    CHECK_FALSE(keeper.isQuietPeriodOver(at(340)));
+}
+
+TEST_CASE("a keeper takes over what the restored store holds of its own lease")
+{
+    OpIds ids;
+    LeaseKeeper keeper = makeKeeper(ids);
+    StoreOps put = acquire(keeper, 0);
+    std::string value = put[0].value;
+    keeper.onAnswer(at(0), answerTo(put, StoreStatus::Ok, 700));
+    keeper.onStoreRestored(at(10));
+    StoreOps again = keeper.onAnswer(at(20), answerTo(keeper.tick(at(20)), StoreStatus::Ok, 650, value));
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].expectedRevision == std::optional<std::uint64_t>(650));
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/membership/vm_registration.cc
+++ b/ragwortwinch/membership/vm_registration.cc
@@ -77,4 +77,12 @@
     return {};
 }
 
+void VmRegistration::onStoreRestored(Instant now)
+{
+    pendingOp_ = 0;
+    isRegistered_ = false;
+    isRemovalSent_ = false;
+    nextCall_ = now;
+}
+
 } // namespace ragwortwinch
--- a/ragwortwinch/membership/vm_registration.h
+++ b/ragwortwinch/membership/vm_registration.h
@@ -31,6 +31,8 @@
 
     StoreOps tick(Instant now);
     StoreOps onAnswer(Instant now, const StoreAnswer& answer);
+    // The store came back from an older copy: registers again, since the lease of the entry is lost.
+    void onStoreRestored(Instant now);
     // Requests removal; `tick` returns the operation when the next one is due.
     void remove() { isRemovalRequested_ = true; }
 
--- a/ragwortwinch/quarantine/prompt_quarantine.cc
+++ b/ragwortwinch/quarantine/prompt_quarantine.cc
@@ -337,4 +337,13 @@
     return result;
 }
 
+void PromptQuarantine::onStoreRestored(Instant now)
+{
+    pendingOp_ = 0;
+    for (auto& [part, entry] : entries_) {
+        entry.isStored = false;
+        pendingWrites_[part] = {now, /*isRemoval=*/false};
+    }
+}
+
 } // namespace ragwortwinch
--- a/ragwortwinch/quarantine/prompt_quarantine.h
+++ b/ragwortwinch/quarantine/prompt_quarantine.h
@@ -61,6 +61,9 @@
     void onStoreList(Instant now, const std::vector<StoreEntry>& entries);
     void onStoreEntry(Instant now, const std::string& key);
     void onStoreRemoval(Instant now, const std::string& key);
+    // The store came back from an older copy: parts that are missing there stay in quarantine and are written
+    // again.
+    void onStoreRestored(Instant now);
 
     // `livePeers` are the other VMs that may write to the store.
     StoreOps tick(Instant now, const std::set<std::string>& livePeers);
--- a/ragwortwinch/store/store_follower.cc
+++ b/ragwortwinch/store/store_follower.cc
@@ -43,6 +43,7 @@
     update.kind = FollowerUpdate::Kind::List;
     update.prefix = prefixes_[index_];
     update.entries = answer.entries;
+    update.revision = answer.revision;
     updates_.push_back(std::move(update));
     if (++index_ < prefixes_.size()) {
         pendingOp_ = ids_.next();
@@ -59,12 +60,19 @@
         return std::nullopt;
     step_ = Step::Watching;
     nextCall_ = now + options_.minWatchInterval;
-    return WatchRequest{watchPrefix_, revision_, options_.wait};
+    return WatchRequest{++watchId_, watchPrefix_, revision_, options_.wait};
 }
 
-void StoreFollower::onWatchAnswer(Instant now, const WatchAnswer& answer)
+void StoreFollower::onStoreRestored(Instant now)
 {
-    if (step_ != Step::Watching)
+    step_ = Step::List;
+    pendingOp_ = 0;
+    nextCall_ = now;
+}
+
+void StoreFollower::onWatchAnswer(Instant now, std::uint64_t id, const WatchAnswer& answer)
+{
+    if (step_ != Step::Watching || id != watchId_)
         return;
     step_ = Step::Watch;
     if (answer.status == WatchStatus::Unavailable) {
@@ -105,7 +113,7 @@
         return;
     isStoreLost_ = true;
     LogEvent("store.lost", Severity::Warning).with("last_answer_ms_ago", (now - confirmedAt_).count());
-    updates_.push_back({FollowerUpdate::Kind::StoreLost, {}, {}, {}});
+    updates_.push_back({FollowerUpdate::Kind::StoreLost, {}, {}, {}, 0});
 }
 
 void StoreFollower::onStoreAnswered(Instant now)
@@ -113,7 +121,7 @@
     if (isStoreLost_) {
         isStoreLost_ = false;
         LogEvent("store.regained").with("lost_ms", (now - confirmedAt_).count());
-        updates_.push_back({FollowerUpdate::Kind::StoreRegained, {}, {}, {}});
+        updates_.push_back({FollowerUpdate::Kind::StoreRegained, {}, {}, {}, 0});
     }
     confirmedAt_ = now;
 }
--- a/ragwortwinch/store/store_follower.h
+++ b/ragwortwinch/store/store_follower.h
@@ -4,7 +4,8 @@
 //     StoreFollower follower({"rules/", "members/"}, "", options, ids);
 //     run(follower.tick(now));                       // lists, as store operations
 //     if (std::optional<WatchRequest> watch = follower.takeWatch(now)) store.watch(...);
-//     follower.onAnswer(now, answer);  follower.onWatchAnswer(now, watchAnswer);
+//     follower.onAnswer(now, answer);  follower.onWatchAnswer(now, watch->id, watchAnswer);
+//     follower.onStoreRestored(now);                 // forgets its position and lists again
 //     for (FollowerUpdate& update : follower.takeUpdates()) ...
 //
 // Watches are rate-limited, so a prefix with many changes costs at most one call per
@@ -47,9 +48,13 @@
     std::string prefix;
     std::vector<StoreEntry> entries;
     StoreEvent event;
+    // The store's revision at the list.
+    std::uint64_t revision = 0;
 };
 
 struct WatchRequest {
+    // Matches the watch with its answer.
+    std::uint64_t id = 0;
     std::string prefix;
     std::uint64_t afterRevision = 0;
     Millis wait{0};
@@ -68,13 +73,18 @@
     StoreOps onAnswer(Instant now, const StoreAnswer& answer);
     // Returns the watch to start now, if any; its answer goes to `onWatchAnswer`.
     std::optional<WatchRequest> takeWatch(Instant now);
-    void onWatchAnswer(Instant now, const WatchAnswer& answer);
+    // Answers to watches other than the last are ignored.
+    void onWatchAnswer(Instant now, std::uint64_t id, const WatchAnswer& answer);
+    // The store came back from an older copy, in which revisions so far have no meaning.
+    void onStoreRestored(Instant now);
     // Returns what has happened since the last call, in order.
     std::vector<FollowerUpdate> takeUpdates();
 
     bool isStoreLost() const { return isStoreLost_; }
     // When the store last answered.
     Instant confirmedAt() const { return confirmedAt_; }
+    // The store's revision up to which changes were received.
+    std::uint64_t revision() const { return revision_; }
 
 private:
     // `List` and `Watch` are due; `Listing` and `Watching` await an answer.
@@ -92,6 +102,7 @@
     // Index of the prefix that is being listed.
     std::size_t index_ = 0;
     std::uint64_t pendingOp_ = 0;
+    std::uint64_t watchId_ = 0;
     // The next watch returns changes after this revision.
     std::uint64_t revision_ = 0;
     Instant nextCall_;
--- a/ragwortwinch/store/store_follower_test.cc
+++ b/ragwortwinch/store/store_follower_test.cc
@@ -54,7 +54,7 @@
     Fixture fixture;
     fixture.listBoth(0);
     fixture.follower.takeWatch(at(0));
-    fixture.follower.onWatchAnswer(at(10),
+    fixture.follower.onWatchAnswer(at(10), 1,
         watchAnswer(WatchStatus::Ok, 14, {{"members/a", "v", 13, false}, {"usage/x", "v", 14, false}}));
     std::vector<FollowerUpdate> updates = fixture.follower.takeUpdates();
     REQUIRE(updates.size() == 1);
@@ -68,7 +68,7 @@
     Fixture fixture;
     fixture.listBoth(0);
     fixture.follower.takeWatch(at(0));
-    fixture.follower.onWatchAnswer(at(10), watchAnswer(WatchStatus::HistoryLost, 0));
+    fixture.follower.onWatchAnswer(at(10), 1, watchAnswer(WatchStatus::HistoryLost, 0));
     CHECK(fixture.follower.tick(at(10)).size() == 1);
 }
 
@@ -77,18 +77,36 @@
     Fixture fixture;
     fixture.listBoth(0);
     fixture.follower.takeWatch(at(0));
-    fixture.follower.onWatchAnswer(at(10), watchAnswer(WatchStatus::Unavailable, 0));
+    fixture.follower.onWatchAnswer(at(10), 1, watchAnswer(WatchStatus::Unavailable, 0));
     CHECK(fixture.follower.takeUpdates().size() == 1);
     CHECK_FALSE(fixture.follower.takeWatch(at(300)).has_value());
     CHECK(fixture.follower.takeWatch(at(510))->afterRevision == 9);
-    fixture.follower.onWatchAnswer(at(520), watchAnswer(WatchStatus::Unavailable, 0));
+    fixture.follower.onWatchAnswer(at(520), 2, watchAnswer(WatchStatus::Unavailable, 0));
     CHECK(fixture.follower.takeUpdates().empty());
     fixture.follower.takeWatch(at(1100));
-    fixture.follower.onWatchAnswer(at(1110), watchAnswer(WatchStatus::Ok, 20));
+    fixture.follower.onWatchAnswer(at(1110), 3, watchAnswer(WatchStatus::Ok, 20));
     std::vector<FollowerUpdate> updates = fixture.follower.takeUpdates();
     REQUIRE(updates.size() == 1);
     CHECK(updates[0].kind == FollowerUpdate::Kind::StoreRegained);
 }
 
+TEST_CASE("after a restore, changes are not missed by an answer to a watch from before it")
+{
+    Fixture fixture;
+    fixture.listBoth(0);
+    fixture.follower.takeWatch(at(0));
+    fixture.follower.onStoreRestored(at(10));
+    // Revisions up to 9 have been given out again.
+    fixture.listBoth(10);
+    std::optional<WatchRequest> watch = fixture.follower.takeWatch(at(600));
+    REQUIRE(watch.has_value());
+    fixture.follower.takeUpdates();
+    fixture.follower.onWatchAnswer(at(610), 1, watchAnswer(WatchStatus::Ok, 30));
+    CHECK(fixture.follower.revision() == watch->afterRevision);
+    fixture.follower.onWatchAnswer(
+        at(620), watch->id, watchAnswer(WatchStatus::Ok, 12, {{"members/a", "v", 11, false}}));
+    CHECK(fixture.follower.takeUpdates().size() == 1);
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/store/store_op.h
+++ b/ragwortwinch/store/store_op.h
@@ -100,6 +100,8 @@
     std::uint64_t revision = 0;
     std::string value;
     std::vector<StoreEntry> entries;
+    // The era that the store named with the answer, if any; see `StoreEra`.
+    std::optional<std::uint64_t> era = std::nullopt;
 
     bool isOk() const { return status == StoreStatus::Ok; }
     // Returns whether the store was not reached, refused the operation or gave no usable answer.
--- a/ragwortwinch/store/watchable_store.h
+++ b/ragwortwinch/store/watchable_store.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
     std::vector<StoreEvent> events;
     // The revision to watch from next.
     std::uint64_t revision = 0;
+    // The era that the store named with the answer, if any; see `StoreEra`.
+    std::optional<std::uint64_t> era = std::nullopt;
 };
 
 // Thread-safe, like `KeyValueStore`. The answer to a list contains the store's revision.
--- a/ragwortwinch/usage/usage_flusher.cc
+++ b/ragwortwinch/usage/usage_flusher.cc
@@ -57,4 +57,13 @@
     return {};
 }
 
+void UsageFlusher::onStoreRestored()
+{
+    pendingOp_ = 0;
+    isReadingBack_ = false;
+    needsReadBack_ = true;
+    written_.clear();
+    nextWrite_ = Instant::min();
+}
+
 } // namespace ragwortwinch
--- a/ragwortwinch/usage/usage_flusher.h
+++ b/ragwortwinch/usage/usage_flusher.h
@@ -38,6 +38,8 @@
     StoreOps tick(Instant now, const WindowUsage& totals);
     // Takes the answer to one of them; answers to other operations are ignored.
     StoreOps onAnswer(Instant now, const StoreAnswer& answer);
+    // The store came back from an older copy: what it holds is read, then written again.
+    void onStoreRestored();
     // Makes the next tick write without waiting for the interval; for a planned stop.
     void flushSoon() { nextWrite_ = Instant::min(); }
     // Returns whether the store is known to hold exactly `totals`.
