Report each usage window with one figure, whatever the store has forgotten

The mark names its era now, so a restored one is noticed. VMs tell each other, once they have seen a restore, the last window that was sent, its figures until the outcome is known, and whether the process that reported last had the authority until the restore (UsageProgress). Then the next holder goes on behind it; otherwise it leaves out the windows that may have been reported before the era was first seen, and logs them.

Also connects the era to the node: whoever hears a new one, from an answer or a peer, starts its work with the store anew before it acts on anything else. Metric ragwortwinch_store_era, store_era in status, log lines store.era_changed and store.restored.

--- a/ragwortwinch/membership/membership_test.cc
+++ b/ragwortwinch/membership/membership_test.cc
@@ -78,7 +78,9 @@
     CHECK(digest->limits[0].ageMillis == 120);
     CHECK(digest->limits[1].perSecond == -1);
     Json items = Json::from_msgpack(readOne(encodeDigest(sent)).payload);
-    items.erase(items.size() - 1);
+    constexpr std::size_t itemsBeforeLimits = 10;
+    while (items.size() > itemsBeforeLimits)
+        items.erase(items.size() - 1);
     std::vector<std::uint8_t> earlier = Json::to_msgpack(items);
     digest = decodeDigest(std::string_view(reinterpret_cast<const char*>(earlier.data()), earlier.size()));
     REQUIRE(digest);
@@ -86,6 +88,32 @@
     CHECK(digest->usage == sent.usage);
 }
 
+TEST_CASE("a digest carries the store's era, and one of an earlier release without it is accepted")
+{
+    PeerDigest sent = sampleDigest();
+    sent.limits = {{"e1", 7, 5.5, 120}};
+    sent.eraSeenAtUnixMillis = 1700000000123;
+    sent.usageProgress = R"({"window":12,"epoch":5})";
+    for (std::uint64_t era : {0, 7}) {
+        sent.storeEra = era;
+        std::optional<PeerDigest> digest = decodeDigest(readOne(encodeDigest(sent)).payload);
+        REQUIRE(digest);
+        CHECK(digest->storeEra == std::optional<std::uint64_t>(era));
+        CHECK(digest->eraSeenAtUnixMillis == sent.eraSeenAtUnixMillis);
+        CHECK(digest->usageProgress == sent.usageProgress);
+    }
+    Json items = Json::from_msgpack(readOne(encodeDigest(sent)).payload);
+    constexpr std::size_t itemsBeforeEra = 11;
+    while (items.size() > itemsBeforeEra)
+        items.erase(items.size() - 1);
+    std::vector<std::uint8_t> earlier = Json::to_msgpack(items);
+    std::optional<PeerDigest> digest
+        = decodeDigest(std::string_view(reinterpret_cast<const char*>(earlier.data()), earlier.size()));
+    REQUIRE(digest);
+    CHECK_FALSE(digest->storeEra.has_value());
+    CHECK(digest->limits.size() == 1);
+}
+
 TEST_CASE("decoding a corrupted digest or configuration never crashes")
 {
     std::string payload = readOne(encodeDigest(sampleDigest())).payload;
--- a/ragwortwinch/membership/peer_digest.h
+++ b/ragwortwinch/membership/peer_digest.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,12 @@
     // Current totals of the sender's latest usage windows, encoded by usage/; may be empty.
     std::string usage;
     std::vector<PeerLimit> limits;
+    // Set once the store was restored while the sender ran; without it the next two are not sent.
+    std::optional<std::uint64_t> storeEra;
+    // When the era was first seen, in milliseconds since 1970.
+    std::int64_t eraSeenAtUnixMillis = 0;
+    // What the sender knows about reported usage windows, encoded by usage/; may be empty.
+    std::string usageProgress;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/membership/peer_message.cc
+++ b/ragwortwinch/membership/peer_message.cc
@@ -137,6 +137,11 @@
         entry.ageMillis = limit.takeInteger();
         digest.limits.push_back(std::move(entry));
     }
+    if (!reader.hasNext())
+        return digest;
+    digest.storeEra = reader.takeUnsigned();
+    digest.eraSeenAtUnixMillis = reader.takeInteger();
+    digest.usageProgress = reader.take<std::string>();
     return digest;
 }
 
@@ -185,10 +190,15 @@
     Json limits = Json::array();
     for (const PeerLimit& limit : digest.limits)
         limits.push_back(Json::array({limit.endpoint, limit.incarnation, limit.perSecond, limit.ageMillis}));
-    return toFrame(PeerMessageKind::Digest,
-        Json::array({vmToJson(digest.sender), digest.sequence, digest.echo, digest.configVersion,
-            digest.confirmationAgeMillis, digest.isStoreDown, Json(digest.leavingEndpoints), loads,
-            digest.unixMillis, digest.usage, limits}));
+    Json message = Json::array({vmToJson(digest.sender), digest.sequence, digest.echo, digest.configVersion,
+        digest.confirmationAgeMillis, digest.isStoreDown, Json(digest.leavingEndpoints), loads,
+        digest.unixMillis, digest.usage, limits});
+    if (digest.storeEra) {
+        for (Json item :
+            {Json(*digest.storeEra), Json(digest.eraSeenAtUnixMillis), Json(digest.usageProgress)})
+            message.push_back(std::move(item));
+    }
+    return toFrame(PeerMessageKind::Digest, message);
 }
 
 std::optional<PeerDigest> decodeDigest(std::string_view payload)
--- a/ragwortwinch/node/gateway_duties.cc
+++ b/ragwortwinch/node/gateway_duties.cc
@@ -35,7 +35,8 @@
     , runner_(runner)
     , lease_(dutyName, settings.node, incarnation, ids, leaseOptions(settings))
     , closer_(usageShard, ids,
-          {settings.usageWindow, settings.usageGrace, retryInterval, /*acceptsDirectTotals=*/true})
+          {settings.usageWindow, settings.usageGrace, retryInterval, /*acceptsDirectTotals=*/true,
+              leaseOptions(settings).quietPeriod()})
     , client_(client)
     , sender_(settings.sendBound)
 {
@@ -58,6 +59,15 @@
         [this](Instant at, const StoreAnswer& answer) { return lease_.onAnswer(at, answer); });
 }
 
+void GatewayDuties::onStoreEra(Instant now, std::uint64_t era, std::int64_t unixMillis)
+{
+    std::optional<AuthoritySpan> span;
+    if (lease_.isHeld(now))
+        span = AuthoritySpan{lease_.acquiredAt(), lease_.confirmedAt()};
+    closer_.onStoreEra(now, era, unixMillis, span);
+    lease_.onStoreRestored(now);
+}
+
 void GatewayDuties::reportUsage(Instant now, std::int64_t unixMillis)
 {
     Authority held = authority(now);
--- a/ragwortwinch/node/gateway_duties.h
+++ b/ragwortwinch/node/gateway_duties.h
@@ -35,6 +35,17 @@
     {
         closer_.setDirectTotals(key, std::move(totals));
     }
+    // The store named its era for the first time, or came back from an older copy. `seenAtUnixMillis` is when
+    // it was first seen in this era.
+    void onStoreEra(Instant now, std::uint64_t era, std::int64_t seenAtUnixMillis);
+    // Takes what a peer knows about reported usage windows, and when it first saw the era.
+    void onPeerProgress(
+        const UsageProgress& progress, std::optional<std::uint64_t> era, std::int64_t eraSeenAtUnixMillis)
+    {
+        closer_.onPeerProgress(progress, era, eraSeenAtUnixMillis);
+    }
+    const UsageProgress& usageProgress() const { return closer_.progress(); }
+    std::int64_t eraSeenAtUnixMillis() const { return closer_.eraSeenAtUnixMillis(); }
     // Sets the current services and endpoints for the planners.
     void setServices(std::vector<ServiceRule> services) { services_ = std::move(services); }
     void setEndpoints(std::vector<EndpointRecord> records) { records_ = std::move(records); }
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -52,6 +52,11 @@
     , follower_(
           {quarantineKeyPrefix, platform::configurationKey(), platform::endpointKeyPrefix(), vmKeyPrefix}, "",
           FollowerOptions{}, opIds_)
+    , storeEraGauge_(prometheus::BuildGauge()
+                         .Name("ragwortwinch_store_era")
+                         .Help("Era of the store; rises when it comes back from an older copy")
+                         .Register(registry_)
+                         .Add({}))
     , vms_(settings_.node, settings_.heartbeatInterval * missedHeartbeatLimit)
     , retrySlack_(settings_.retrySlack, settings_.retryWindow, clock_.now())
     , links_(context_, settings_.node, settings_.peerAddress, settings_.heartbeatInterval, *this)
@@ -125,6 +130,7 @@
         settings_, std::to_string(incarnation_), context_, runner_, opIds_, *storeClient_);
     clusterClock_.onOwnClock(clock_.now(), clock_.unixMillis());
     forward_->setCrashListener(this);
+    runner_.setEraListener([this](Instant now, EraVerdict) { onStoreEra(now, "store"); });
     scheduleTick();
     controlThread_ = std::thread([this] { context_.run(); });
     forwardThread_ = std::thread([this] { forward_->run(); });
@@ -258,6 +264,11 @@
     for (const auto& [endpoint, work] : forward_->work())
         digest.loads.push_back({endpoint, work.running, 0, work.promptTokens.onTime, work.promptTokens.late});
     digest.limits = peerLimits(now);
+    if (hasSeenRestore_) {
+        digest.storeEra = handledEra_;
+        digest.eraSeenAtUnixMillis = duties_->eraSeenAtUnixMillis();
+        digest.usageProgress = duties_->usageProgress().toJson();
+    }
     return digest;
 }
 
@@ -265,6 +276,7 @@
 {
     Instant now = clock_.now();
     vms_.onHeartbeat(now, digest.sender);
+    onPeerStoreNews(now, peer, digest);
     clusterClock_.onPeerClock(now, peer, digest.unixMillis);
     peerLoad_.onReport(now, peer, digest.loads);
     if (digest.isStoreDown)
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -66,6 +66,12 @@
     void scheduleTick();
     void tick();
     void tickStore(Instant now);
+    // Starts all work with the store anew: it named its era for the first time, or was restored from an older
+    // copy. `source` is who told it.
+    void onStoreEra(Instant now, const std::string& source);
+    // Takes the store's era and the usage reports that a peer knows.
+    void onPeerStoreNews(Instant now, const std::string& peer, const PeerDigest& digest);
+    void logRestoredStore(const FollowerUpdate& firstList);
     void onFollowerUpdate(Instant now, const FollowerUpdate& update);
     void onVmList(Instant now, const std::vector<StoreEntry>& entries);
     void onEndpointEntry(Instant now, const std::string& key, const std::string& value);
@@ -118,6 +124,12 @@
     asio::steady_timer timer_;
     StoreRunner runner_;
     StoreFollower follower_;
+    // The last store era before the current one, and the revision known in it, until the restored store has
+    // been listed.
+    std::optional<std::pair<std::uint64_t, std::uint64_t>> beforeRestore_;
+    std::optional<std::uint64_t> handledEra_;
+    bool hasSeenRestore_ = false;
+    prometheus::Gauge& storeEraGauge_;
     EndpointRegistry endpoints_;
     VmTable vms_;
     // The VMs registered in the store, by name.
--- a/ragwortwinch/node/gateway_status.cc
+++ b/ragwortwinch/node/gateway_status.cc
@@ -30,9 +30,9 @@
         quarantine.push_back({{"part", partIdText(part)}, {"left_ms", (until - now).count()}});
     return {{"node", settings_.node}, {"ready", isReady_.load()}, {"config_version", configVersion_},
         {"retry_slack", retrySlackPart_}, {"retry_slack_vms", retrySlack_.vmCount()},
-        {"store_down", follower_.isStoreLost()}, {"proof_age_ms", (now - follower_.confirmedAt()).count()},
-        {"vms", vms}, {"endpoints", endpoints}, {"quarantine", quarantine},
-        {"duties", Json::array({duties_->dump(now)})}};
+        {"store_down", follower_.isStoreLost()}, {"store_era", handledEra_.value_or(0)},
+        {"proof_age_ms", (now - follower_.confirmedAt()).count()}, {"vms", vms}, {"endpoints", endpoints},
+        {"quarantine", quarantine}, {"duties", Json::array({duties_->dump(now)})}};
 }
 
 Json GatewayNode::dump(Instant now) const
--- a/ragwortwinch/node/gateway_updates.cc
+++ b/ragwortwinch/node/gateway_updates.cc
@@ -11,12 +11,17 @@
         [this](Instant at, const StoreAnswer& answer) { return follower_.onAnswer(at, answer); });
     if (std::optional<WatchRequest> watch = follower_.takeWatch(now)) {
         ++watchCalls_;
-        store_->watch(watch->prefix, watch->afterRevision, watch->wait, [this](WatchAnswer answer) {
-            asio::post(context_, [this, answer = std::move(answer)] {
-                follower_.onWatchAnswer(clock_.now(), answer);
-                tickStore(clock_.now());
+        std::optional<std::uint64_t> sentIn = runner_.era().current();
+        store_->watch(watch->prefix, watch->afterRevision, watch->wait,
+            [this, id = watch->id, sentIn](WatchAnswer answer) {
+                asio::post(context_, [this, id, sentIn, answer = std::move(answer)]() mutable {
+                    bool isNoAnswer = answer.status == WatchStatus::Unavailable && !answer.era;
+                    if (!isNoAnswer && !runner_.checkEra(sentIn, answer.era))
+                        answer = {};
+                    follower_.onWatchAnswer(clock_.now(), id, answer);
+                    tickStore(clock_.now());
+                });
             });
-        });
     }
     for (const FollowerUpdate& update : follower_.takeUpdates())
         onFollowerUpdate(now, update);
@@ -31,6 +36,54 @@
     }
 }
 
+void GatewayNode::onStoreEra(Instant now, const std::string& source)
+{
+    std::uint64_t era = *runner_.era().current();
+    if (handledEra_) {
+        hasSeenRestore_ = true;
+        beforeRestore_ = {*handledEra_, follower_.revision()};
+        LogEvent("store.era_changed", Severity::Warning)
+            .with("era", era)
+            .with("previous_era", *handledEra_)
+            .with("source", source);
+        follower_.onStoreRestored(now);
+        registration_->onStoreRestored(now);
+        flusher_.onStoreRestored();
+        quarantine_.onStoreRestored(now);
+        endpoints_.onStoreRestored(now);
+    }
+    handledEra_ = era;
+    storeEraGauge_.Set(static_cast<double>(era));
+    duties_->onStoreEra(now, era, clusterClock_.unixMillis(now));
+}
+
+void GatewayNode::onPeerStoreNews(Instant now, const std::string& peer, const PeerDigest& digest)
+{
+    if (runner_.era().onPeerEra(digest.storeEra))
+        onStoreEra(now, peer);
+    if (digest.usageProgress.empty())
+        return;
+    if (std::optional<UsageProgress> progress = parseUsageProgress(digest.usageProgress))
+        duties_->onPeerProgress(*progress, digest.storeEra, digest.eraSeenAtUnixMillis);
+    else
+        LogEvent("peer.bad_usage_progress", Severity::Warning)
+            .with("peer", peer)
+            .with("bytes", digest.usageProgress.size());
+}
+
+void GatewayNode::logRestoredStore(const FollowerUpdate& firstList)
+{
+    if (!beforeRestore_)
+        return;
+    LogEvent("store.restored", Severity::Warning)
+        .with("era", *handledEra_)
+        .with("previous_era", beforeRestore_->first)
+        .with("revision", firstList.revision)
+        .with("previous_revision", beforeRestore_->second)
+        .with("writes_again", "registration, usage totals, quarantine");
+    beforeRestore_.reset();
+}
+
 void GatewayNode::onFollowerUpdate(Instant now, const FollowerUpdate& update)
 {
     switch (update.kind) {
@@ -41,6 +94,7 @@
         endpoints_.onStoreRegained(now);
         return;
     case FollowerUpdate::Kind::List:
+        logRestoredStore(update);
         if (update.prefix == vmKeyPrefix)
             onVmList(now, update.entries);
         else if (update.prefix == quarantineKeyPrefix)
--- a/testing/protocol/virtual_store.cc
+++ b/testing/protocol/virtual_store.cc
@@ -33,12 +33,41 @@
         else
             answer = apply(op);
         answer.opId = id;
+        answer.era = era_;
         if (chance(faults_.lostAnswer))
             return;
         time_.after(delay(10), [answerOnce, answer] { answerOnce(answer); });
     });
 }
 
+void VirtualStore::keepCopies()
+{
+    if (!era_)
+        era_ = 1;
+    expire();
+    copies_.push_back({time_.now(), revision_, values_});
+    while (time_.now() - copies_.front().at > maxCopyAge)
+        copies_.pop_front();
+    time_.after(copyInterval, [this] { keepCopies(); });
+}
+
+void VirtualStore::restore(Millis age)
+{
+    while (copies_.size() > 1 && time_.now() - copies_.back().at < age)
+        copies_.pop_back();
+    const Copy& copy = copies_.back();
+    Millis shift = std::chrono::duration_cast<Millis>(time_.now() - copy.at);
+    values_ = copy.values;
+    revision_ = copy.revision;
+    previousValues_.clear();
+    // Leases go on with the time that they had left in the copy.
+    for (auto& [key, value] : values_) {
+        if (value.expiresAt)
+            *value.expiresAt += shift;
+    }
+    ++*era_;
+}
+
 void VirtualStore::expire()
 {
     std::erase_if(values_,
--- a/testing/protocol/virtual_store.h
+++ b/testing/protocol/virtual_store.h
@@ -11,6 +11,7 @@
 #include "ragwortwinch/store/store_op.h"
 #include "testing/protocol/virtual_time.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -34,6 +35,10 @@
     // Sends an operation. `onAnswer` is called exactly once: with status Unknown after `clientTimeout` if no
     // answer has arrived. If `isPartitioned`, the operation never reaches the store.
     void execute(StoreOp op, bool isPartitioned, std::function<void(StoreAnswer)> onAnswer);
+    // Names its era in answers from now on, and keeps a copy of itself every `copyInterval`.
+    void keepCopies();
+    // Goes back to the newest copy that is at least `age` old, or the oldest. The era rises by one.
+    void restore(Millis age);
     void setOutage(bool value) { hasOutage_ = value; }
     void setFaults(const StoreFaults& faults) { faults_ = faults; }
     // Sets a function that is called for each Put or Delete that takes effect.
@@ -44,6 +49,8 @@
     // Returns the value, or an empty text if the key does not exist.
     std::string valueOf(const std::string& key) const;
 
+    static constexpr Millis copyInterval{250};
+    static constexpr Millis maxCopyAge{10000};
     static constexpr Millis clientTimeout{300};
     // A request arrives within this time or never.
     static constexpr Millis maxTransit{1200};
@@ -61,6 +68,12 @@
         Instant replacedAt;
     };
 
+    struct Copy {
+        Instant at;
+        std::uint64_t revision = 0;
+        std::map<std::string, Value> values;
+    };
+
     StoreAnswer apply(const StoreOp& op);
     StoreAnswer read(const StoreOp& op);
     StoreAnswer write(const StoreOp& op);
@@ -76,6 +89,8 @@
     StoreFaults faults_;
     bool hasOutage_ = false;
     std::uint64_t revision_ = 1;
+    std::optional<std::uint64_t> era_;
+    std::deque<Copy> copies_;
     std::map<std::string, Value> values_;
     std::map<std::string, PreviousValue> previousValues_;
     std::function<void(const StoreOp&, std::uint64_t)> observer_;
