Keep the connections of the resuming fake endpoints open behind whole replies

The checks are unchanged. In the case of a cut event the endpoint now ends a reply without length and chunks by its connection, as meant.

--- a/ragwortwinch/forward/early_end_test.cc
+++ b/ragwortwinch/forward/early_end_test.cc
@@ -230,7 +230,8 @@
                     socket.send(replyTo(request, framing, body).substr(0, size));
                 else
                     socket.send(replyTo(request, framing, eventsAfter(std::atoi(resumeAfter.c_str()))));
-                return false;
+                // The connection behind a whole reply may be used again.
+                return !isFirst && framing != Framing::Close;
             };
             FakeEndpoint first(behaviour);
             FakeEndpoint second(behaviour);
@@ -266,7 +267,7 @@
             // The endpoint that resumes the stream has no event behind the first.
             socket.send(isResumed ? replyTo(request, framing, "")
                                   : replyTo(request, Framing::Close, event(1) + "id: 2\nda"));
-            return isResumed;
+            return isResumed && framing != Framing::Close;
         };
         FakeEndpoint first(behaviour);
         FakeEndpoint second(behaviour);
