Show that requests of callers that have left are sent on

Requests that are read late are sent although the caller's connection has ended, first sends on kept and new connections, retries and resumptions alike; one unread byte behind a request hides the end of the connection.

--- a/testing/forward/fake_codec.h
+++ b/testing/forward/fake_codec.h
@@ -3,9 +3,11 @@
 
 #include "ragwortwinch/forward/request_codec.h"
 
+#include <chrono>
 #include <cstdlib>
 #include <sstream>
 #include <string>
+#include <thread>
 
 namespace ragwortwinch::testing {
 
@@ -13,6 +15,8 @@
 public:
     CallerRequest decodeRequest(const HttpFields& fields) const override
     {
+        // Holds up the forwarding thread, in milliseconds.
+        std::this_thread::sleep_for(std::chrono::milliseconds(std::atoll(text(fields, "Stall").c_str())));
         CallerRequest request;
         request.id = text(fields, "Id");
         request.key = text(fields, "Key");
--- a/testing/forward/raw_socket.h
+++ b/testing/forward/raw_socket.h
@@ -56,6 +56,7 @@
     }
 
     bool isOpen() const { return descriptor_ >= 0; }
+    int descriptor() const { return descriptor_; }
     void send(const std::string& bytes) { ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL); }
     void close()
     {
