Tell peers what has changed instead of everything at each heartbeat

Callers of small VMs waited for seconds: prompts reached their engine late, and after bursts some had left by then.

Cause: every VM sent a digest of 1.2 KB (addresses, loads, usage of all teams as JSON) to each of 83 peers five times a second, made and encoded anew for each peer. That is 4 Mbit/s of a small VM's 10 Mbit/s, and most of the processor time. Class: state repeated in full at the rate of the heartbeat, so that its cost grows with VMs times state.

After the first digest of a connection a heartbeat has 39 bytes and is made once for all peers; loads go when they have changed, limits when they were read anew, usage as changes twice a second. A connection starts with a whole digest, so what was missed comes back. A VM announces that it understands this; others get digests as before, and ignore the announcement. Loads are told at least once a second. The common time is computed per tick instead of per digest, and connections are checked per heartbeat instead of per tick. In discovery_test the own clock is read after the peer's, as the control thread does.

--- a/ragwortwinch/membership/cluster_clock.cc
+++ b/ragwortwinch/membership/cluster_clock.cc
@@ -14,7 +14,6 @@
 void ClusterClock::onPeerClock(Instant now, const std::string& peer, std::int64_t unixMillis)
 {
     peers_[peer] = {now, unixMillis - now.time_since_epoch().count()};
-    update(now);
 }
 
 void ClusterClock::update(Instant now)
--- a/ragwortwinch/membership/cluster_clock.h
+++ b/ragwortwinch/membership/cluster_clock.h
@@ -1,8 +1,8 @@
 // The time of day common to all VMs: the median of their clocks, so that one clock that jumps has no effect.
 //
 //     ClusterClock time;
-//     time.onOwnClock(now, clock.unixMillis());
 //     time.onPeerClock(now, "cnx-2", digest.unixMillis);
+//     time.onOwnClock(now, clock.unixMillis());
 //     time.unixMillis(now);
 //
 // Readings of peers older than `maxReadingAge` are ignored. `unixMillis` is thread-safe; call the rest from
@@ -22,6 +22,7 @@
 public:
     static constexpr Millis maxReadingAge{5000};
 
+    // Also computes the common time anew; call it several times a second.
     void onOwnClock(Instant now, std::int64_t unixMillis);
     void onPeerClock(Instant now, const std::string& peer, std::int64_t unixMillis);
     std::int64_t unixMillis(Instant now) const
--- a/ragwortwinch/membership/discovery_test.cc
+++ b/ragwortwinch/membership/discovery_test.cc
@@ -45,7 +45,9 @@
     ClusterClock time;
     time.onOwnClock(at(0), 1000000);
     time.onPeerClock(at(0), "a", 1000002);
+    time.onOwnClock(at(250), 1000250);
     time.onPeerClock(at(500), "a", 1002500);
+    time.onOwnClock(at(500), 1000500);
     CHECK(std::abs(time.unixMillis(at(500)) - 1000500) <= 2);
 }
 
--- a/ragwortwinch/membership/peer_links.cc
+++ b/ragwortwinch/membership/peer_links.cc
@@ -1,6 +1,7 @@
 #include "ragwortwinch/membership/peer_links.h"
 
 #include "ragwortwinch/base/log_event.h"
+#include "ragwortwinch/membership/peer_heartbeat.h"
 
 #include <array>
 #include <deque>
@@ -44,6 +45,8 @@
             socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeoutMillis, sizeof(timeoutMillis));
         isOpen_ = true;
         sendDigest();
+        if (links_.listener_.usesHeartbeats())
+            send(encodeCapabilities());
         read();
     }
 
@@ -88,6 +91,8 @@
         links_.remove(shared_from_this());
     }
 
+    // Whether the peer understands the small heartbeats.
+    bool takesHeartbeats() const { return takesHeartbeats_; }
     bool isDialed() const { return isDialed_; }
     bool isOpen() const { return isOpen_; }
     const std::string& peer() const { return peer_; }
@@ -133,7 +138,10 @@
             // The first frame must be a digest, which names the peer.
             if (peer_.empty())
                 return false;
-            links_.listener_.onFrame(peer_, frame);
+            if (frame.kind == PeerMessageKind::Capabilities)
+                onCapabilities(frame.payload);
+            else
+                links_.listener_.onFrame(peer_, frame);
             return true;
         }
         std::optional<PeerDigest> digest = decodeDigest(frame.payload);
@@ -151,6 +159,15 @@
         return true;
     }
 
+    void onCapabilities(std::string_view payload)
+    {
+        if (takesHeartbeats_ || !links_.listener_.usesHeartbeats() || !decodeCapabilities(payload))
+            return;
+        // News that was sent to the others since this connection's first digest.
+        sendDigest();
+        takesHeartbeats_ = true;
+    }
+
     void write()
     {
         std::shared_ptr<Session> self = shared_from_this();
@@ -176,6 +193,7 @@
     Instant lastReceivedAt_;
     bool isOpen_ = false;
     bool isClosed_ = false;
+    bool takesHeartbeats_ = false;
     std::array<char, readBufferBytes> buffer_{};
     PeerFrameReader reader_;
     std::deque<std::string> queue_;
@@ -249,12 +267,18 @@
 
 void PeerLinks::tick(Instant now)
 {
-    if (isStopped_)
+    if (isStopped_ || now < nextHeartbeat_)
         return;
-    std::set<std::string> dialedAddresses;
+    nextHeartbeat_ = now + heartbeat_;
+    closeSilent(now);
+    dialMissing(now);
+    sendHeartbeats();
+}
+
+void PeerLinks::closeSilent(Instant now)
+{
     std::vector<std::shared_ptr<Session>> silent;
     for (const std::shared_ptr<Session>& session : sessions_) {
-        dialedAddresses.insert(session->dialedAddress());
         if (now - session->lastReceivedAt() > heartbeat_ * silentHeartbeats)
             silent.push_back(session);
     }
@@ -264,19 +288,31 @@
             .with("address", session->dialedAddress());
         session->close();
     }
-    std::set<std::string> connected = connectedAddresses();
+}
+
+void PeerLinks::dialMissing(Instant now)
+{
+    std::set<std::string> present = connectedAddresses();
+    for (const std::shared_ptr<Session>& session : sessions_)
+        present.insert(session->dialedAddress());
     for (const SocketAddress& address : targetAddresses_) {
         std::string text = address.text();
         Instant& next = nextDial_[text];
-        if (address == address_ || dialedAddresses.contains(text) || connected.contains(text) || now < next)
+        if (address == address_ || present.contains(text) || now < next)
             continue;
         next = now + heartbeat_ * 2;
         dial(address);
     }
-    if (now >= nextHeartbeat_) {
-        nextHeartbeat_ = now + heartbeat_;
-        std::vector<std::shared_ptr<Session>> open(sessions_.begin(), sessions_.end());
-        for (const std::shared_ptr<Session>& session : open)
+}
+
+void PeerLinks::sendHeartbeats()
+{
+    std::string heartbeat = listener_.makeHeartbeat();
+    std::vector<std::shared_ptr<Session>> open(sessions_.begin(), sessions_.end());
+    for (const std::shared_ptr<Session>& session : open) {
+        if (session->takesHeartbeats())
+            session->send(heartbeat);
+        else
             session->sendDigest();
     }
 }
--- a/ragwortwinch/membership/peer_links.h
+++ b/ragwortwinch/membership/peer_links.h
@@ -5,6 +5,9 @@
 //     links.setAddresses(table.peerAddresses());
 //     links.send("bkk-1", frame);
 //
+// Each end sends a digest first. After that, heartbeats are digests too, unless both ends use the small ones
+// of peer_heartbeat.h, which are made once for all peers.
+//
 // A connection on which nothing arrives for several heartbeat intervals is closed and dialed again, since a
 // middlebox may have dropped its state. All calls and callbacks run on the thread that runs `context`.
 #pragma once
@@ -30,6 +33,10 @@
     // Returns the digest to send now. `peer` is empty until the peer has identified itself.
     virtual PeerDigest makeDigest(const std::string& peer) = 0;
     virtual void onDigest(const std::string& peer, const PeerDigest& digest) = 0;
+    // Returns the frames of a heartbeat to peers that understand them; see peer_heartbeat.h. Nothing by
+    // default: each heartbeat is a digest.
+    virtual std::string makeHeartbeat() { return {}; }
+    virtual bool usesHeartbeats() const { return false; }
     virtual void onFrame(const std::string& peer, const PeerFrame& frame) = 0;
 };
 
@@ -43,8 +50,8 @@
     Result<std::uint16_t> start();
     // Sets the addresses to stay connected to.
     void setAddresses(const std::vector<SocketAddress>& addresses);
-    // Closes silent connections, dials missing ones and sends heartbeats. Call it more often than the
-    // heartbeat interval.
+    // Closes silent connections, and dials missing ones and sends heartbeats at the heartbeat interval. Call
+    // it more often than that.
     void tick(Instant now);
     // Returns false if there is no connection to the peer.
     bool send(const std::string& peer, const std::string& frame);
@@ -58,6 +65,9 @@
 
     void accept();
     void dial(const SocketAddress& address);
+    void closeSilent(Instant now);
+    void dialMissing(Instant now);
+    void sendHeartbeats();
     std::set<std::string> connectedAddresses() const;
     void remove(const std::shared_ptr<Session>& session);
     // Returns false if the session must be closed: it leads to this node or duplicates one to the same peer.
--- a/ragwortwinch/membership/peer_load.cc
+++ b/ragwortwinch/membership/peer_load.cc
@@ -32,6 +32,13 @@
     add(report.loads, 1);
 }
 
+void PeerLoad::refresh(Instant now, const std::string& peer)
+{
+    auto report = reports_.find(peer);
+    if (report != reports_.end())
+        report->second.receivedAt = now;
+}
+
 void PeerLoad::expire(Instant now)
 {
     for (auto report = reports_.begin(); report != reports_.end();) {
--- a/ragwortwinch/membership/peer_load.h
+++ b/ragwortwinch/membership/peer_load.h
@@ -1,6 +1,7 @@
 // Sums the load that peers put on each endpoint, as reported in their digests.
 //
 //     peerLoad.onReport(now, peer, digest.loads);
+//     peerLoad.refresh(now, peer);                   // a heartbeat without a report
 //     peerLoad.expire(now);                          // periodically
 //     if (peerLoad.takeChanged()) use(peerLoad.sums());
 //
@@ -25,6 +26,8 @@
     }
     // Replaces the peer's former report. Endpoints that the report lacks have no load from this peer.
     void onReport(Instant now, const std::string& peer, const std::vector<EndpointLoad>& loads);
+    // The peer is alive and its former report, if any, still holds.
+    void refresh(Instant now, const std::string& peer);
     void expire(Instant now);
     // Returns whether the sums have changed since the last call.
     bool takeChanged();
--- a/ragwortwinch/membership/peer_message.h
+++ b/ragwortwinch/membership/peer_message.h
@@ -23,6 +23,10 @@
     ConfigBody = 3,
     // Crashes and harmful prompt parts; see quarantine/quarantine_news.h.
     QuarantineNews = 4,
+    // See membership/peer_heartbeat.h. Releases that don't know these three ignore them.
+    Capabilities = 5,
+    Heartbeat = 6,
+    News = 7,
 };
 
 inline constexpr std::uint8_t peerProtocolVersion = 1;
--- a/ragwortwinch/membership/vm_table.cc
+++ b/ragwortwinch/membership/vm_table.cc
@@ -59,6 +59,18 @@
         entry.lastHeartbeatAt = now;
 }
 
+void VmTable::onHeartbeat(
+    Instant now, const std::string& name, std::uint64_t incarnation, bool isReady, bool isLeaving)
+{
+    auto found = entries_.find(name);
+    if (found == entries_.end() || found->second.info.incarnation != incarnation)
+        return;
+    VmInfo& info = found->second.info;
+    info.isReady = isReady;
+    info.isLeaving = isLeaving || (info.isLeaving && isEnabled(Mechanism::StickyLeaving));
+    found->second.lastHeartbeatAt = now;
+}
+
 void VmTable::setSelf(const VmInfo& vm) { selfInfo_ = vm; }
 
 std::set<std::string> VmTable::nonLeavingPeers() const
--- a/ragwortwinch/membership/vm_table.h
+++ b/ragwortwinch/membership/vm_table.h
@@ -25,6 +25,9 @@
 
     void onPlatformList(Instant now, const std::vector<VmInfo>& vms);
     void onHeartbeat(Instant now, const VmInfo& vm);
+    // A heartbeat of a VM that has described itself before. Ignored if that was another incarnation.
+    void onHeartbeat(
+        Instant now, const std::string& name, std::uint64_t incarnation, bool isReady, bool isLeaving);
     void setSelf(const VmInfo& vm);
 
     // Names of all other known VMs that are not leaving. With StalePolicy::AgreeThenServe a
--- a/ragwortwinch/node/gateway_duties.h
+++ b/ragwortwinch/node/gateway_duties.h
@@ -35,6 +35,11 @@
     {
         closer_.setDirectTotals(key, std::move(totals));
     }
+    // Sets those of its totals that have grown.
+    void addDirectTotals(const std::string& key, const WindowUsage& totals)
+    {
+        closer_.addDirectTotals(key, totals);
+    }
     // The store named its era for the first time, or came back from an older copy. `seenAtUnixMillis` is when
     // it was first seen in this era.
     void onStoreEra(Instant now, std::uint64_t era, std::int64_t seenAtUnixMillis);
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -3,7 +3,6 @@
 #include "platform/platform_store.h"
 #include "platform/request_codec.h"
 #include "platform/store_values.h"
-#include "ragwortwinch/base/digest.h"
 #include "ragwortwinch/base/log_event.h"
 
 #include <algorithm>
@@ -18,11 +17,6 @@
 constexpr Millis registrationTtl{9000};
 // Heartbeats carry newer usage to the peers between flushes; the store keeps the usage of ended VMs.
 constexpr Millis usageFlushInterval{2000};
-// The number of past usage windows that each heartbeat carries.
-constexpr WindowId digestUsageWindows = 2;
-constexpr Millis configRequestInterval{300};
-// The peers' digests arrive one by one; their sums are passed on together.
-constexpr Millis peerLoadInterval{20};
 // A stopping VM keeps a new connection open for this long, so that its first request can arrive. Covers a
 // round trip between regions.
 constexpr Millis firstRequestWait{250};
@@ -205,15 +199,6 @@
     return names;
 }
 
-WindowUsage GatewayNode::latestUsage(Instant now) const
-{
-    WindowUsage totals = usage_.totals();
-    WindowId oldest = usage_.windowOf(clusterClock_.unixMillis(now)) - digestUsageWindows;
-    std::erase_if(
-        totals, [oldest](const std::pair<const WindowId, TeamUsage>& entry) { return entry.first < oldest; });
-    return totals;
-}
-
 void GatewayNode::tickMembership(Instant now)
 {
     VmInfo self = selfInfo();
@@ -250,88 +235,6 @@
     usage_.forgetBefore(usage_.windowOf(clusterClock_.unixMillis(now)) - retainedWindows);
 }
 
-PeerDigest GatewayNode::makeDigest(const std::string&)
-{
-    Instant now = clock_.now();
-    PeerDigest digest;
-    digest.sender = selfInfo();
-    digest.sequence = ++digestSequence_;
-    digest.configVersion = configVersion_;
-    digest.confirmationAgeMillis = (now - follower_.confirmedAt()).count();
-    digest.isStoreDown = follower_.isStoreLost();
-    digest.unixMillis = clock_.unixMillis();
-    digest.usage = toJson(latestUsage(now)).dump();
-    for (const auto& [endpoint, work] : forward_->work())
-        digest.loads.push_back({endpoint, work.running, 0, work.promptTokens.onTime, work.promptTokens.late});
-    digest.limits = peerLimits(now);
-    if (hasSeenRestore_) {
-        digest.storeEra = handledEra_;
-        digest.eraSeenAtUnixMillis = duties_->eraSeenAtUnixMillis();
-        digest.usageProgress = duties_->usageProgress().toJson();
-    }
-    return digest;
-}
-
-void GatewayNode::onDigest(const std::string& peer, const PeerDigest& digest)
-{
-    Instant now = clock_.now();
-    vms_.onHeartbeat(now, digest.sender);
-    onPeerStoreNews(now, peer, digest);
-    clusterClock_.onPeerClock(now, peer, digest.unixMillis);
-    peerLoad_.onReport(now, peer, digest.loads);
-    if (digest.isStoreDown)
-        peersWithoutStore_.insert(peer);
-    else
-        peersWithoutStore_.erase(peer);
-    if (!digest.usage.empty()) {
-        duties_->setDirectTotals(usageKey(peer, std::to_string(digest.sender.incarnation)),
-            windowUsageFromJson(parseJsonOrDiscard(digest.usage)));
-    }
-    updatePeerLoad(now);
-    if (!digest.limits.empty())
-        setPeerLimits(now, digest.limits);
-    sendAllQuarantineNews(peer, digest.sender.incarnation);
-    if (digest.configVersion > configVersion_ && now >= nextConfigRequest_) {
-        nextConfigRequest_ = now + configRequestInterval;
-        links_.send(peer, encodeFrame(PeerMessageKind::ConfigRequest, {}));
-    }
-}
-
-void GatewayNode::updatePeerLoad(Instant now)
-{
-    if (now < nextPeerLoadUpdate_ || !peerLoad_.takeChanged())
-        return;
-    nextPeerLoadUpdate_ = now + peerLoadInterval;
-    std::map<std::string, EndpointWork> workByEndpoint;
-    for (const auto& [endpoint, load] : peerLoad_.sums())
-        workByEndpoint[endpoint] = {load.running, {load.promptTokens, load.latePromptTokens}};
-    forward_->setPeerLoad(std::move(workByEndpoint));
-}
-
-void GatewayNode::onFrame(const std::string& peer, const PeerFrame& frame)
-{
-    if (frame.kind == PeerMessageKind::ConfigRequest && configVersion_ > 0) {
-        ConfigBody body;
-        body.head.version = configVersion_;
-        body.head.hash = sha256Hex(configText_);
-        body.head.parts = 1;
-        body.text = configText_;
-        links_.send(peer, encodeConfigBody(body));
-        return;
-    }
-    if (frame.kind == PeerMessageKind::QuarantineNews) {
-        onQuarantineNews(peer, frame.payload);
-        return;
-    }
-    if (frame.kind != PeerMessageKind::ConfigBody)
-        return;
-    std::optional<ConfigBody> body = decodeConfigBody(frame.payload);
-    if (body && sha256Hex(body->text) == body->head.hash)
-        adoptConfig(body->text, peer);
-    else
-        LogEvent("peer.bad_config", Severity::Warning).with("peer", peer);
-}
-
 void GatewayNode::reload(GatewaySettings settings)
 {
     asio::post(context_, [this, settings = std::move(settings)] {
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -14,6 +14,7 @@
 #include "ragwortwinch/config/gateway_settings.h"
 #include "ragwortwinch/forward/forward_server.h"
 #include "ragwortwinch/membership/cluster_clock.h"
+#include "ragwortwinch/membership/peer_heartbeat.h"
 #include "ragwortwinch/membership/peer_links.h"
 #include "ragwortwinch/membership/peer_load.h"
 #include "ragwortwinch/membership/shared_limit.h"
@@ -55,6 +56,8 @@
 private:
     PeerDigest makeDigest(const std::string& peer) override;
     void onDigest(const std::string& peer, const PeerDigest& digest) override;
+    std::string makeHeartbeat() override;
+    bool usesHeartbeats() const override { return true; }
     void onFrame(const std::string& peer, const PeerFrame& frame) override;
     // Both run on the forwarding thread.
     void onCrash(const EndpointCrash& crash, bool isConfirmed) override;
@@ -69,8 +72,16 @@
     // Starts all work with the store anew: it named its era for the first time, or was restored from an older
     // copy. `source` is who told it.
     void onStoreEra(Instant now, const std::string& source);
+    void onHeartbeat(Instant now, const std::string& peer, const PeerHeartbeat& heartbeat);
+    void onNews(Instant now, const std::string& peer, const PeerNews& news);
+    // What every kind of heartbeat says of the peer's clock, its store and its configuration.
+    void onPeerState(Instant now, const std::string& peer, std::int64_t unixMillis, bool isStoreDown,
+        std::uint64_t configVersion);
+    // Returns what has changed since the last call, each kind at its own rate.
+    PeerNews takeNews(Instant now);
+    std::optional<StoreEraNews> storeEraNews() const;
     // Takes the store's era and the usage reports that a peer knows.
-    void onPeerStoreNews(Instant now, const std::string& peer, const PeerDigest& digest);
+    void onPeerStoreNews(Instant now, const std::string& peer, const std::optional<StoreEraNews>& news);
     void logRestoredStore(const FollowerUpdate& firstList);
     void onFollowerUpdate(Instant now, const FollowerUpdate& update);
     void onVmList(Instant now, const std::vector<StoreEntry>& entries);
@@ -82,6 +93,8 @@
     void updatePeerLoad(Instant now);
     // Returns the request limits of endpoints that this VM has read, for its digests.
     std::vector<PeerLimit> peerLimits(Instant now) const;
+    // Returns this VM's load on each endpoint.
+    std::vector<EndpointLoad> ownLoads() const;
     // Applies request limits of endpoints from a peer's digest.
     void setPeerLimits(Instant now, const std::vector<PeerLimit>& limits);
     void tickRetryBudget(Instant now);
@@ -154,6 +167,14 @@
     // Peers whose last heartbeat reported that they can't reach the store.
     std::set<std::string> peersWithoutStore_;
     std::uint64_t digestSequence_ = 0;
+    // What the peers were told in the latest news.
+    std::vector<EndpointLoad> toldLoads_;
+    Instant nextLoads_;
+    WindowUsage toldUsage_;
+    Instant nextUsage_;
+    // Endpoints and incarnations, and when their limit was read.
+    std::map<std::pair<std::string, std::int64_t>, Instant> toldLimits_;
+    std::optional<StoreEraNews> toldStoreEra_;
     std::uint64_t watchCalls_ = 0;
     Instant nextConfigRequest_;
     bool isDraining_ = false;
--- a/ragwortwinch/node/gateway_updates.cc
+++ b/ragwortwinch/node/gateway_updates.cc
@@ -57,18 +57,19 @@
     duties_->onStoreEra(now, era, clusterClock_.unixMillis(now));
 }
 
-void GatewayNode::onPeerStoreNews(Instant now, const std::string& peer, const PeerDigest& digest)
+void GatewayNode::onPeerStoreNews(
+    Instant now, const std::string& peer, const std::optional<StoreEraNews>& news)
 {
-    if (runner_.era().onPeerEra(digest.storeEra))
+    if (runner_.era().onPeerEra(news ? std::optional<std::uint64_t>(news->era) : std::nullopt))
         onStoreEra(now, peer);
-    if (digest.usageProgress.empty())
+    if (!news || news->usageProgress.empty())
         return;
-    if (std::optional<UsageProgress> progress = parseUsageProgress(digest.usageProgress))
-        duties_->onPeerProgress(*progress, digest.storeEra, digest.eraSeenAtUnixMillis);
+    if (std::optional<UsageProgress> progress = parseUsageProgress(news->usageProgress))
+        duties_->onPeerProgress(*progress, news->era, news->seenAtUnixMillis);
     else
         LogEvent("peer.bad_usage_progress", Severity::Warning)
             .with("peer", peer)
-            .with("bytes", digest.usageProgress.size());
+            .with("bytes", news->usageProgress.size());
 }
 
 void GatewayNode::logRestoredStore(const FollowerUpdate& firstList)
--- a/ragwortwinch/usage/usage_figures.cc
+++ b/ragwortwinch/usage/usage_figures.cc
@@ -1,7 +1,8 @@
 #include "ragwortwinch/usage/usage_figures.h"
 
-#include <algorithm>
+#include "ragwortwinch/base/byte_codec.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace ragwortwinch {
@@ -34,6 +35,54 @@
     }
 }
 
+WindowUsage changedTotals(const WindowUsage& totals, const WindowUsage& former)
+{
+    WindowUsage changed;
+    for (const auto& [window, teams] : totals) {
+        auto formerWindow = former.find(window);
+        for (const auto& [team, figures] : teams) {
+            if (formerWindow != former.end()) {
+                auto known = formerWindow->second.find(team);
+                if (known != formerWindow->second.end() && known->second == figures)
+                    continue;
+            }
+            changed[window][team] = figures;
+        }
+    }
+    return changed;
+}
+
+std::string encodeTotals(const WindowUsage& totals)
+{
+    ByteWriter writer;
+    for (const auto& [window, teams] : totals) {
+        writer.integer(window);
+        writer.count(static_cast<std::int64_t>(teams.size()));
+        for (const auto& [team, figures] : teams) {
+            writer.shortText(team);
+            for (std::int64_t figure : {figures.requests, figures.promptTokens, figures.outputTokens})
+                writer.count(figure);
+        }
+    }
+    return writer.bytes();
+}
+
+std::optional<WindowUsage> decodeTotals(std::string_view bytes)
+{
+    WindowUsage totals;
+    ByteReader reader(bytes);
+    while (!reader.isAtEnd()) {
+        TeamUsage& teams = totals[reader.integer<WindowId>()];
+        std::int64_t count = reader.count();
+        for (std::int64_t index = 0; index < count && reader.isValid(); ++index) {
+            UsageFigures& figures = teams[std::string(reader.shortText())];
+            for (std::int64_t* figure : {&figures.requests, &figures.promptTokens, &figures.outputTokens})
+                *figure = reader.count();
+        }
+    }
+    return reader.isValid() ? std::optional<WindowUsage>(std::move(totals)) : std::nullopt;
+}
+
 Json toJson(const TeamUsage& usage)
 {
     Json object = Json::object();
--- a/ragwortwinch/usage/usage_figures.h
+++ b/ragwortwinch/usage/usage_figures.h
@@ -5,7 +5,9 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace ragwortwinch {
 
@@ -30,6 +32,13 @@
 // never decrease, so the greater figure is the later one.
 void mergeTotals(WindowUsage& totals, const WindowUsage& other);
 
+// Returns the figures of `totals` that differ from those in `former`.
+WindowUsage changedTotals(const WindowUsage& totals, const WindowUsage& former);
+
+// A compact binary form for messages between VMs. Decoding returns nullopt if the bytes are malformed.
+std::string encodeTotals(const WindowUsage& totals);
+std::optional<WindowUsage> decodeTotals(std::string_view bytes);
+
 // JSON of the form {"<team>": [requests, prompt tokens, output tokens]} and {"<window>": {...}}. Members of
 // another form are skipped, but a list of three that holds anything but numbers throws.
 Json toJson(const TeamUsage&);
--- a/ragwortwinch/usage/window_closer.cc
+++ b/ragwortwinch/usage/window_closer.cc
@@ -35,9 +35,10 @@
 void WindowCloser::forgetOldDirectTotals()
 {
     WindowId oldest = unixMillis_ / options_.windowLength.count() - retainedWindows;
-    std::erase_if(directTotals_, [oldest](const std::pair<const std::string, WindowUsage>& entry) {
-        return entry.second.empty() || entry.second.rbegin()->first < oldest;
-    });
+    for (auto& [key, totals] : directTotals_)
+        totals.erase(totals.begin(), totals.lower_bound(oldest));
+    std::erase_if(directTotals_,
+        [](const std::pair<const std::string, WindowUsage>& entry) { return entry.second.empty(); });
 }
 
 StoreOps WindowCloser::tick(Instant now, std::int64_t unixMillis, const Authority& authority)
--- a/ragwortwinch/usage/window_closer.h
+++ b/ragwortwinch/usage/window_closer.h
@@ -64,6 +64,11 @@
     {
         directTotals_[key] = std::move(totals);
     }
+    // Takes those of a contributor's totals that have grown.
+    void addDirectTotals(const std::string& key, const WindowUsage& totals)
+    {
+        mergeTotals(directTotals_[key], totals);
+    }
     // The store named its era for the first time, or came back from an older copy in this era. `unixMillis`
     // is now in the VMs' common time. `span` if this process had the authority until now.
     void onStoreEra(
