Count the time for which a request lay unread

Callers of a VM that had fallen behind got their request worked on after its time was over, and endpoints were told of more time than was left.

Cause: a request's time began when it was read. Now the time since its last byte arrived (TCP_INFO, tcpi_last_data_recv; its error is the time between the header and the last byte) is taken off; where the system doesn't tell, the lateness of the thread's timer. A request without time left is refused as not run, with Retry-After. Lag of the thread and such refusals are metrics, and each spell of lag is logged at its start and end (forward.behind, forward.caught_up).

A lag by the thread's timer alone did not pass: the timer has fired again when a header is read.

--- a/ragwortwinch/forward/caller_session.cc
+++ b/ragwortwinch/forward/caller_session.cc
@@ -261,6 +261,7 @@
     request->body = std::move(message.body());
     request->fields = std::move(static_cast<HttpFields&>(message.base()));
     request->caller = context_.codec.decodeRequest(request->fields);
+    request->unreadFor = internal::timeSinceInput(socket_);
     mustClose_ = !request->wantsKeepAlive;
     request_ = std::move(request);
     watch();
--- a/ragwortwinch/forward/departed_caller_test.cc
+++ b/ragwortwinch/forward/departed_caller_test.cc
@@ -280,6 +280,34 @@
         CHECK(sendsOf(decode, "left") == 0);
     }
 
+    TEST_CASE(
+        "the time for which a request lay unread is taken off its time, and it is refused if none is left")
+    {
+        for (int limit : {300, 1500}) {
+            CAPTURE(limit);
+            FakeEndpoint endpoint(answerOk);
+            Fixture fixture;
+            fixture.setEndpoints({&endpoint});
+            RawSocket caller = fixture.warmConnection();
+            fixture.stall(800);
+            caller.send(
+                ForwardFixture::request("/once/a", "waits", "", "Limit: " + std::to_string(limit) + "\r\n"));
+            std::string reply = caller.readMessage();
+            if (limit < 700) {
+                CHECK(reply.starts_with("HTTP/1.1 503 "));
+                CHECK_FALSE(fieldOf(reply, "Retry-After").empty());
+                CHECK(sendsOf(endpoint, "waits") == 0);
+            } else {
+                CHECK(reply.ends_with("fine"));
+                REQUIRE(endpoint.requests().size() == 1);
+                int passedOn = std::atoi(fieldOf(endpoint.requests()[0], "Limit").c_str());
+                // Of the stall, the 100 ms between two timers can't be told from time on time.
+                CHECK(passedOn <= limit - 600);
+                CHECK(passedOn > 0);
+            }
+        }
+    }
+
     TEST_CASE("requests that a caller pipelines are answered in order")
     {
         FakeEndpoint endpoint([](RawSocket& socket, const std::string& request) {
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -66,7 +66,9 @@
                 "no route for this host and path in version {} of the configuration", traffic_->version()));
         return false;
     }
-    deadline_ = startedAt_ + std::min(request_->caller.timeLimit.value_or(route_->timeout), route_->timeout);
+    Millis unread = std::max(request_->unreadFor, context_.lag.lag(startedAt_));
+    deadline_ = startedAt_ + std::min(request_->caller.timeLimit.value_or(route_->timeout), route_->timeout)
+        - unread;
     if (traffic_->hasTeams() && !route_->isOpen) {
         team_ = traffic_->findTeam(request_->caller.key);
         if (!team_) {
@@ -81,6 +83,12 @@
         reject(statusBadRequest, ErrorKind::BadRequest, "the request has no id; send one with each try");
         return false;
     }
+    if (unread.count() > 0 && deadline_ <= startedAt_) {
+        context_.metrics.onReadTooLate(route_->name);
+        refuse(ErrorKind::NoCapacity,
+            "this VM read the request when its time was over; it was not run, use another VM");
+        return false;
+    }
     bool mayOutliveDrain
         = context_.drain && startedAt_ >= context_.drain->acceptAllUntil && deadline_ >= context_.drain->end;
     if (mayOutliveDrain) {
--- a/ragwortwinch/forward/forward_context.h
+++ b/ragwortwinch/forward/forward_context.h
@@ -10,6 +10,7 @@
 #include "ragwortwinch/forward/forward_metrics.h"
 #include "ragwortwinch/forward/forward_options.h"
 #include "ragwortwinch/forward/kv_transfer_time.h"
+#include "ragwortwinch/forward/lag_monitor.h"
 #include "ragwortwinch/forward/request_codec.h"
 #include "ragwortwinch/forward/request_log.h"
 #include "ragwortwinch/forward/windowed_retry_budget.h"
@@ -31,6 +32,10 @@
     Instant end;
 };
 
+// How often idle connections and the thread's lag are checked and the loads reported to the peers are
+// refreshed.
+inline constexpr Millis sweepInterval{100};
+
 using TrafficSnapshot = Snapshot<std::shared_ptr<const TrafficTable>>;
 
 struct ForwardContext {
@@ -52,6 +57,8 @@
     // By service.
     std::map<std::string, WindowedRetryBudget> retryBudgets{};
     KvTransferTime kvTransfer{};
+    // How far the forwarding thread is behind; its timer is the sweep.
+    LagMonitor lag{sweepInterval};
     CrashDetector crashes{io, clock, options.connectTimeout};
     // Endpoint searches so far; sets where the next one starts.
     std::uint64_t searchNumber = 0;
--- a/ragwortwinch/forward/forward_metrics.cc
+++ b/ragwortwinch/forward/forward_metrics.cc
@@ -36,6 +36,8 @@
           "Requests that were not sent once more because the budget was spent"))
     , droppedSends_(counter(registry, "ragwortwinch_dropped_sends_total",
           "Requests that were not sent because their caller had left, by service"))
+    , readTooLate_(counter(registry, "ragwortwinch_read_too_late_total",
+          "Requests refused because their time was over when they were read, by route"))
     , quarantined_(counter(registry, "ragwortwinch_quarantined_requests_total",
           "Requests refused for a prompt part that crashes endpoints, by route"))
     , durations_(histogram(registry, "ragwortwinch_request_duration_milliseconds",
@@ -44,6 +46,8 @@
           "From the whole request to the answer's first byte"))
     , sessions_(gauge(registry, "ragwortwinch_caller_connections", "Open connections of callers"))
     , bufferedBytes_(gauge(registry, "ragwortwinch_held_bytes", "Requests and answers held in memory"))
+    , lag_(gauge(registry, "ragwortwinch_forwarding_lag_milliseconds",
+          "How late the forwarding thread handles events"))
 {
 }
 
@@ -76,6 +80,11 @@
     droppedSends_.Add({{"service", service}}).Increment();
 }
 
+void ForwardMetrics::onReadTooLate(const std::string& route)
+{
+    readTooLate_.Add({{"route", route}}).Increment();
+}
+
 void ForwardMetrics::onRetryBudgetEmpty(const std::string& service)
 {
     exhaustedRetryBudgets_.Add({{"service", service}}).Increment();
--- a/ragwortwinch/forward/forward_metrics.h
+++ b/ragwortwinch/forward/forward_metrics.h
@@ -34,6 +34,10 @@
     void onSendDropped(const std::string& service);
     // A request had a prompt part in quarantine.
     void onQuarantined(const std::string& route);
+    // How late the forwarding thread handles events.
+    void setLag(Millis lag) { lag_.Set(static_cast<double>(lag.count())); }
+    // A request was refused because its time was over when it was read.
+    void onReadTooLate(const std::string& route);
     void setSessions(std::size_t count) { sessions_.Set(static_cast<double>(count)); }
     void setBufferedBytes(std::size_t bytes) { bufferedBytes_.Set(static_cast<double>(bytes)); }
 
@@ -43,11 +47,13 @@
     prometheus::Family<prometheus::Counter>& retries_;
     prometheus::Family<prometheus::Counter>& exhaustedRetryBudgets_;
     prometheus::Family<prometheus::Counter>& droppedSends_;
+    prometheus::Family<prometheus::Counter>& readTooLate_;
     prometheus::Family<prometheus::Counter>& quarantined_;
     prometheus::Family<prometheus::Histogram>& durations_;
     prometheus::Family<prometheus::Histogram>& firstBytes_;
     prometheus::Gauge& sessions_;
     prometheus::Gauge& bufferedBytes_;
+    prometheus::Gauge& lag_;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/forward_request.h
+++ b/ragwortwinch/forward/forward_request.h
@@ -16,6 +16,8 @@
     std::string body;
     // Decoded from `fields`.
     CallerRequest caller;
+    // How long the request lay unread.
+    Millis unreadFor{0};
     // HTTP/1.0 callers can't decode chunked replies.
     bool isHttp10 = false;
     bool wantsKeepAlive = true;
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -10,8 +10,6 @@
 
 namespace {
 
-// How often idle connections are checked and the loads reported to the peers are refreshed.
-constexpr Millis sweepInterval{100};
 // Pause after an accept failed, for example for lack of file descriptors.
 constexpr Millis acceptPause{50};
 
@@ -55,6 +53,7 @@
 void ForwardServer::run()
 {
     accept();
+    context_.lag.start(context_.clock.now());
     scheduleSweep();
     io_.run();
 }
@@ -128,6 +127,7 @@
 
 void ForwardServer::sweep()
 {
+    checkLag();
     std::vector<UpstreamPointer> endpoints = endpoints_.all();
     context_.pool.sweep(endpoints, context_.clock.now());
     std::map<std::string, EndpointWork> work;
@@ -153,6 +153,19 @@
     limits_ = std::move(limits);
 }
 
+void ForwardServer::checkLag()
+{
+    Instant now = context_.clock.now();
+    Millis lag = context_.lag.lag(now);
+    metrics_.setLag(lag);
+    if (std::optional<LagSpell> spell = context_.lag.onTimer(now))
+        LogEvent(spell->hasEnded ? "forward.caught_up" : "forward.behind", Severity::Warning)
+            .with("worst_ms", spell->worst.count())
+            .with("ms", spell->duration.count())
+            .with("connections", sessions_.size());
+    recentLagMillis_.store(context_.lag.recentLag(now).count());
+}
+
 void ForwardServer::updateLimitParts(const std::vector<UpstreamPointer>& endpoints)
 {
     Instant now = context_.clock.now();
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -67,6 +67,8 @@
     void setQuarantine(std::map<PartId, Instant> quarantinedUntil, std::set<PartId> suspected);
     // Returns the load from this VM, by endpoint id; updated every 100 ms.
     std::map<std::string, EndpointWork> work() const;
+    // How far the forwarding thread was behind at most in the last second.
+    Millis recentLag() const { return Millis(recentLagMillis_.load()); }
     // From now on each reply closes its connection. After `ForwardOptions::drainGrace`, requests whose
     // deadline isn't before `end` are refused.
     void beginDrain(Instant end);
@@ -91,6 +93,7 @@
     void updateDrained();
     void scheduleSweep();
     void sweep();
+    void checkLag();
     // Computes the parts of request limits that have changed.
     void updateLimitParts(const std::vector<UpstreamPointer>& endpoints);
 
@@ -112,6 +115,7 @@
     std::atomic<bool> isDraining_{false};
     std::atomic<bool> isDrained_{false};
     std::atomic<std::size_t> sessionsWithRequests_{0};
+    std::atomic<std::int64_t> recentLagMillis_{0};
     mutable std::mutex workMutex_;
     std::map<std::string, EndpointWork> work_;
     std::vector<EndpointLimitReport> limits_;
--- a/ragwortwinch/forward/internal/socket_options.cc
+++ b/ragwortwinch/forward/internal/socket_options.cc
@@ -35,6 +35,15 @@
     setOption(handle, IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes);
 }
 
+Millis timeSinceInput(boost::asio::ip::tcp::socket& socket)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    if (getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < sizeof(info))
+        return Millis(0);
+    return Millis(info.tcpi_last_data_recv);
+}
+
 void resetSocket(boost::asio::ip::tcp::socket& socket)
 {
     if (!socket.is_open())
