Share callers out by what each VM can carry

Callers of small VMs waited in bursts while large VMs of their zone were idle.

Cause: an address answer named each VM once, so a VM with 10 Mbit/s and 0.12 of a core got as many callers as one with 200 Mbit/s and 0.5. Class: equal shares of unequal things.

Link and processor are settings now, told to all VMs in digests, and the lag of the forwarding thread in heartbeats. An address answer names each VM as often as the scarcer of both asks for, compared with the zone's mean, less while it lags, at least once, and at most half of the entries. The answer stays the same while nothing changes, so callers keep their connections.

--- a/ragwortwinch/config/gateway_settings.h
+++ b/ragwortwinch/config/gateway_settings.h
@@ -53,6 +53,10 @@
     double retryRatio = 0.2;
     Millis retryWindow{10000};
     double retrySlack = 50;
+    // What this VM has: bandwidth of its link in megabits a second, and processor time in cores of the speed
+    // that is common to all VMs. Callers are shared out by them; 0 if unknown.
+    double linkMbps = 0;
+    double processorCores = 0;
 };
 
 // Returns whether `text` has `"mode": "gateway"`; false also when it is not valid JSON.
--- a/ragwortwinch/membership/discovery_test.cc
+++ b/ragwortwinch/membership/discovery_test.cc
@@ -3,6 +3,8 @@
 #include "ragwortwinch/membership/vm_registration.h"
 
 #include <doctest/doctest.h>
+#include <map>
+#include <random>
 
 namespace ragwortwinch {
 namespace {
@@ -27,6 +29,101 @@
     CHECK(chooseEntryVms({}, "z1", "r").empty());
 }
 
+// A zone of the grown deployments: 2 strong and 12 weak VMs.
+std::vector<VmInfo> unequalZone()
+{
+    std::vector<VmInfo> zone;
+    for (int number = 0; number < 14; ++number) {
+        zone.push_back(vm("vm" + std::to_string(number), "z1"));
+        zone.back().linkMbps = number < 2 ? 200 : 10;
+        zone.back().processorCores = number < 2 ? 0.5 : 0.12;
+    }
+    return zone;
+}
+
+std::map<std::string, int> entriesOf(const std::vector<VmInfo>& vms)
+{
+    std::map<std::string, int> counts;
+    for (const VmInfo& entry : repeatByCapacity(vms, 64))
+        ++counts[entry.name];
+    return counts;
+}
+
+TEST_CASE("strong VMs stand more often in an address answer than weak ones, and each VM stands there")
+{
+    std::map<std::string, int> counts = entriesOf(unequalZone());
+    CHECK(counts.size() == 14);
+    CHECK(counts["vm0"] >= 8);
+    CHECK(counts["vm0"] == counts["vm1"]);
+    CHECK(counts["vm13"] == 1);
+    CHECK(repeatByCapacity(unequalZone(), 64).size() <= 64);
+}
+
+TEST_CASE("VMs that are alike, or of which nothing is known, stand once each in an address answer")
+{
+    std::vector<VmInfo> alike{vm("a", "z1"), vm("b", "z1"), vm("c", "z1")};
+    CHECK(repeatByCapacity(alike, 64).size() == 3);
+    for (VmInfo& entry : alike)
+        entry.linkMbps = 1000;
+    CHECK(repeatByCapacity(alike, 64).size() == 3);
+    alike[1].linkMbps = 0;
+    CHECK(repeatByCapacity(alike, 64).size() == 3);
+    CHECK(repeatByCapacity({}, 64).empty());
+    CHECK(repeatByCapacity({vm("a", "z1")}, 64).size() == 1);
+}
+
+TEST_CASE("a VM that lags gets fewer callers, is never left out, and no VM gets more than half of them")
+{
+    std::vector<VmInfo> zone = unequalZone();
+    zone[0].lag = Millis(900);
+    std::map<std::string, int> counts = entriesOf(zone);
+    CHECK(counts["vm0"] >= 1);
+    CHECK(counts["vm1"] >= 5 * counts["vm0"]);
+    // Two VMs of which one hardly answers.
+    std::vector<VmInfo> pair{vm("a", "z1"), vm("b", "z1")};
+    pair[0].lag = Millis(5000);
+    counts = entriesOf(pair);
+    CHECK(counts["a"] == 1);
+    CHECK(counts["b"] == 1);
+    // More VMs than an answer holds.
+    std::vector<VmInfo> many;
+    for (int number = 0; number < 100; ++number)
+        many.push_back(vm("vm" + std::to_string(number), "z1"));
+    CHECK(repeatByCapacity(many, 64).size() == 64);
+}
+
+// Each VM serves its callers' requests one after the other over its link. Returns the share of the requests
+// that wait for longer than a tenth of their target before they are sent, in a burst of three times the usual
+// rate.
+double lateShare(const std::vector<VmInfo>& addresses)
+{
+    constexpr double requestsPerSecond = 3 * 140;
+    // A prompt of 9 KB crosses the link three times.
+    constexpr double megabitsPerRequest = 3 * 9.0 * 8 / 1000;
+    constexpr double targetSeconds = 0.25;
+    std::mt19937_64 random(11);
+    std::exponential_distribution<double> gap(requestsPerSecond);
+    std::map<std::string, double> freeAt;
+    int late = 0;
+    int all = 0;
+    for (double now = 0; now < 10; now += gap(random), ++all) {
+        const VmInfo& chosen = addresses[random() % addresses.size()];
+        double& free = freeAt[chosen.name];
+        late += free - now > targetSeconds / 10 ? 1 : 0;
+        free = std::max(free, now) + megabitsPerRequest / chosen.linkMbps;
+    }
+    return static_cast<double>(late) / all;
+}
+
+TEST_CASE("callers that are shared out by capacity wait less before small VMs than with equal shares")
+{
+    std::vector<VmInfo> zone = unequalZone();
+    double equal = lateShare(zone);
+    double byCapacity = lateShare(repeatByCapacity(zone, 64));
+    MESSAGE("share of requests that wait: equal ", equal, ", by capacity ", byCapacity);
+    CHECK(byCapacity < equal / 3);
+}
+
 TEST_CASE("a clock that jumps in either direction doesn't change the common time")
 {
     for (std::int64_t jump : {-2400, 2400}) {
--- a/ragwortwinch/membership/peer_heartbeat.cc
+++ b/ragwortwinch/membership/peer_heartbeat.cc
@@ -108,6 +108,7 @@
     writer.integer(flags);
     writer.integer(heartbeat.configVersion);
     writer.integer(heartbeat.unixMillis);
+    writer.count(heartbeat.lag.count());
     return encodeFrame(PeerMessageKind::Heartbeat, writer.bytes());
 }
 
@@ -122,6 +123,7 @@
     heartbeat.isStoreDown = flags & storeDownFlag;
     heartbeat.configVersion = reader.integer<std::uint64_t>();
     heartbeat.unixMillis = reader.integer<std::int64_t>();
+    heartbeat.lag = Millis(reader.count());
     return reader.isValid() ? std::optional<PeerHeartbeat>(heartbeat) : std::nullopt;
 }
 
--- a/ragwortwinch/membership/peer_heartbeat.h
+++ b/ragwortwinch/membership/peer_heartbeat.h
@@ -29,6 +29,8 @@
     std::uint64_t configVersion = 0;
     // The sender's clock.
     std::int64_t unixMillis = 0;
+    // See VmInfo.
+    Millis lag{0};
 
     bool operator==(const PeerHeartbeat&) const = default;
 };
--- a/ragwortwinch/membership/peer_heartbeat_test.cc
+++ b/ragwortwinch/membership/peer_heartbeat_test.cc
@@ -22,7 +22,7 @@
     return *frame;
 }
 
-PeerHeartbeat sampleHeartbeat() { return {1778453293740, true, false, true, 12, 1778453299999}; }
+PeerHeartbeat sampleHeartbeat() { return {1778453293740, true, false, true, 12, 1778453299999, Millis(150)}; }
 
 PeerNews sampleNews()
 {
@@ -169,14 +169,15 @@
 {
     VmTable table("self", Millis(1000));
     table.onHeartbeat(at(0), {"a", "z", "r", {}, {}, 5, false, true});
-    table.onHeartbeat(at(900), "a", 5, true, false);
-    table.onHeartbeat(at(900), "unknown", 5, true, false);
-    CHECK(table.usable(at(1800)).size() == 1);
-    table.onHeartbeat(at(1800), "a", 4, true, false);
+    table.onHeartbeat(at(900), "a", {5, true, false, false, 0, 0, Millis(50)});
+    table.onHeartbeat(at(900), "unknown", {5, true});
+    REQUIRE(table.usable(at(1800)).size() == 1);
+    CHECK(table.usable(at(1800))[0].lag == Millis(50));
+    table.onHeartbeat(at(1800), "a", {4, true});
     CHECK(table.usable(at(2000)).empty());
     // Leaving stays in force until a newer incarnation.
-    table.onHeartbeat(at(2000), "a", 5, true, true);
-    table.onHeartbeat(at(2100), "a", 5, true, false);
+    table.onHeartbeat(at(2000), "a", {5, true, true});
+    table.onHeartbeat(at(2100), "a", {5, true});
     CHECK(table.usable(at(2100)).empty());
 }
 
--- a/ragwortwinch/membership/peer_message.cc
+++ b/ragwortwinch/membership/peer_message.cc
@@ -38,7 +38,8 @@
 Json vmToJson(const VmInfo& vm)
 {
     return Json::array({vm.name, vm.availabilityZone, vm.region, vm.entryAddress.host, vm.entryAddress.port,
-        vm.peerAddress.host, vm.peerAddress.port, vm.incarnation, vm.isLeaving, vm.isReady});
+        vm.peerAddress.host, vm.peerAddress.port, vm.incarnation, vm.isLeaving, vm.isReady, vm.linkMbps,
+        vm.processorCores});
 }
 
 // Reads the items of an array in order; a missing or mistyped item throws a JSON exception or
@@ -70,6 +71,13 @@
             throw std::out_of_range("not an integer");
         return item.get<std::int64_t>();
     }
+    double takeCapacity()
+    {
+        double value = take<double>();
+        if (!std::isfinite(value) || value < 0)
+            throw std::out_of_range("not a capacity");
+        return value;
+    }
     SocketAddress takeAddress()
     {
         SocketAddress address;
@@ -98,6 +106,10 @@
     vm.incarnation = reader.takeUnsigned();
     vm.isLeaving = reader.take<bool>();
     vm.isReady = reader.take<bool>();
+    if (!reader.hasNext())
+        return vm;
+    vm.linkMbps = reader.takeCapacity();
+    vm.processorCores = reader.takeCapacity();
     return vm;
 }
 
--- a/ragwortwinch/membership/vm_info.h
+++ b/ragwortwinch/membership/vm_info.h
@@ -24,6 +24,11 @@
     bool isLeaving = false;
     // Whether the node reports that it is ready for requests.
     bool isReady = false;
+    // Bandwidth of its link in megabits a second, and processor time in cores; 0 if unknown.
+    double linkMbps = 0;
+    double processorCores = 0;
+    // How far it was behind at most in the last second.
+    Millis lag{0};
 };
 
 // Stable sort by distance: the given availability zone first, then its region, then the rest.
--- a/ragwortwinch/membership/vm_table.cc
+++ b/ragwortwinch/membership/vm_table.cc
@@ -59,15 +59,15 @@
         entry.lastHeartbeatAt = now;
 }
 
-void VmTable::onHeartbeat(
-    Instant now, const std::string& name, std::uint64_t incarnation, bool isReady, bool isLeaving)
+void VmTable::onHeartbeat(Instant now, const std::string& name, const PeerHeartbeat& heartbeat)
 {
     auto found = entries_.find(name);
-    if (found == entries_.end() || found->second.info.incarnation != incarnation)
+    if (found == entries_.end() || found->second.info.incarnation != heartbeat.incarnation)
         return;
     VmInfo& info = found->second.info;
-    info.isReady = isReady;
-    info.isLeaving = isLeaving || (info.isLeaving && isEnabled(Mechanism::StickyLeaving));
+    info.isReady = heartbeat.isReady;
+    info.isLeaving = heartbeat.isLeaving || (info.isLeaving && isEnabled(Mechanism::StickyLeaving));
+    info.lag = heartbeat.lag;
     found->second.lastHeartbeatAt = now;
 }
 
--- a/ragwortwinch/membership/vm_table.h
+++ b/ragwortwinch/membership/vm_table.h
@@ -9,6 +9,7 @@
 // thread-safe.
 #pragma once
 
+#include "ragwortwinch/membership/peer_heartbeat.h"
 #include "ragwortwinch/membership/vm_info.h"
 
 #include <map>
@@ -26,8 +27,7 @@
     void onPlatformList(Instant now, const std::vector<VmInfo>& vms);
     void onHeartbeat(Instant now, const VmInfo& vm);
     // A heartbeat of a VM that has described itself before. Ignored if that was another incarnation.
-    void onHeartbeat(
-        Instant now, const std::string& name, std::uint64_t incarnation, bool isReady, bool isLeaving);
+    void onHeartbeat(Instant now, const std::string& name, const PeerHeartbeat& heartbeat);
     void setSelf(const VmInfo& vm);
 
     // Names of all other known VMs that are not leaving. With StalePolicy::AgreeThenServe a
--- a/ragwortwinch/node/gateway_handlers.cc
+++ b/ragwortwinch/node/gateway_handlers.cc
@@ -46,7 +46,8 @@
         responder->send(
             makeErrorResponse(statusUnavailable, "no VM is known to take requests; ask another one"));
     else
-        responder->send(platform::addressResponse(chosen, validity_));
+        responder->send(
+            platform::addressResponse(repeatByCapacity(chosen, platform::maxAddresses), validity_));
 }
 
 void GatewayAdminHandler::handle(HttpRequest request, std::shared_ptr<HttpResponder> responder)
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -20,6 +20,8 @@
 // A stopping VM keeps a new connection open for this long, so that its first request can arrive. Covers a
 // round trip between regions.
 constexpr Millis firstRequestWait{250};
+// Peers are told the lag in these steps, so that address answers don't change with every millisecond.
+constexpr Millis lagStep{50};
 // For the readiness, directory and operators' ports.
 constexpr std::size_t maxAuxiliaryConnections = 400;
 
@@ -176,6 +178,9 @@
     vm.incarnation = incarnation_;
     vm.isLeaving = isDraining_;
     vm.isReady = !isDraining_ && configVersion_ > 0;
+    vm.linkMbps = settings_.linkMbps;
+    vm.processorCores = settings_.processorCores;
+    vm.lag = forward_->recentLag() / lagStep * lagStep;
     return vm;
 }
 
@@ -214,18 +219,23 @@
     links_.setAddresses(addresses);
     links_.tick(now);
     auto next = std::make_unique<VmDirectory>(VmDirectory{vms_.usable(now)});
+    auto hasSameAddress = [](const VmInfo& left, const VmInfo& right) {
+        return left.name == right.name && left.entryAddress == right.entryAddress;
+    };
+    auto hasSameLag = [](const VmInfo& left, const VmInfo& right) { return left.lag == right.lag; };
+    bool hasSameVms = false;
     bool isSame = false;
     {
         Snapshot<VmDirectory>::Reader current = directory_.read();
-        isSame = std::equal(current->usable.begin(), current->usable.end(), next->usable.begin(),
-            next->usable.end(), [](const VmInfo& left, const VmInfo& right) {
-                return left.name == right.name && left.entryAddress == right.entryAddress;
-            });
+        const std::vector<VmInfo>& former = current->usable;
+        const std::vector<VmInfo>& usable = next->usable;
+        hasSameVms = std::equal(former.begin(), former.end(), usable.begin(), usable.end(), hasSameAddress);
+        isSame = hasSameVms && std::equal(former.begin(), former.end(), usable.begin(), hasSameLag);
     }
-    if (!isSame) {
+    if (!hasSameVms)
         LogEvent("directory.changed").with("usable_vms", next->usable.size());
+    if (!isSame)
         directory_.replace(std::move(next));
-    }
 }
 
 void GatewayNode::tickUsage(Instant now)
--- a/ragwortwinch/node/gateway_peers.cc
+++ b/ragwortwinch/node/gateway_peers.cc
@@ -78,7 +78,7 @@
     Instant now = clock_.now();
     VmInfo self = selfInfo();
     std::string frames = encodeHeartbeat({incarnation_, self.isReady, self.isLeaving, follower_.isStoreLost(),
-        configVersion_, clock_.unixMillis()});
+        configVersion_, clock_.unixMillis(), self.lag});
     PeerNews news = takeNews(now);
     if (!news.isEmpty())
         frames += encodeNews(news);
@@ -157,7 +157,7 @@
 
 void GatewayNode::onHeartbeat(Instant now, const std::string& peer, const PeerHeartbeat& heartbeat)
 {
-    vms_.onHeartbeat(now, peer, heartbeat.incarnation, heartbeat.isReady, heartbeat.isLeaving);
+    vms_.onHeartbeat(now, peer, heartbeat);
     peerLoad_.refresh(now, peer);
     onPeerState(now, peer, heartbeat.unixMillis, heartbeat.isStoreDown, heartbeat.configVersion);
 }
