--- a/ragwortwinch/forward/crash_detector.cc
+++ b/ragwortwinch/forward/crash_detector.cc
@@ -61,15 +61,15 @@
 
 CrashDetector::~CrashDetector() = default;
 
-void CrashDetector::setQuarantine(std::map<PartId, Instant> quarantinedUntil, std::set<PartId> suspected)
+void CrashDetector::setQuarantine(std::map<TraitId, Instant> quarantinedUntil, std::set<TraitId> suspected)
 {
     quarantinedUntil_ = std::move(quarantinedUntil);
-    std::set<PartId> former = std::move(suspected_);
+    std::set<TraitId> former = std::move(suspected_);
     suspected_ = std::move(suspected);
     if (!listener_)
         return;
     // An answer from before the report of a crash arrived may clear a part too.
-    for (PartId part : suspected_) {
+    for (TraitId part : suspected_) {
         std::optional<Instant> answer = former.contains(part) ? std::nullopt : lastAnswer(part);
         if (answer)
             listener_->onPromptAnswered(part, *answer);
@@ -80,7 +80,7 @@
 {
     if (quarantinedUntil_.empty())
         return std::nullopt;
-    for (PartId part : sharedPartIds(prompt)) {
+    for (TraitId part : sharedPartIds(prompt)) {
         auto found = quarantinedUntil_.find(part);
         if (found != quarantinedUntil_.end())
             return QuarantinedPart{part, found->second};
@@ -91,14 +91,14 @@
 void CrashDetector::onPromptAnswered(const std::vector<PromptPart>& prompt)
 {
     Instant now = clock_.now();
-    for (PartId part : sharedPartIds(prompt)) {
+    for (TraitId part : sharedPartIds(prompt)) {
         remember(part, now);
         if (listener_ && suspected_.contains(part))
             listener_->onPromptAnswered(part, now);
     }
 }
 
-void CrashDetector::remember(PartId part, Instant at)
+void CrashDetector::remember(TraitId part, Instant at)
 {
     if (newerAnswers_.size() >= maxAnsweredParts / 2) {
         olderAnswers_ = std::move(newerAnswers_);
@@ -107,9 +107,9 @@
     newerAnswers_[part] = at;
 }
 
-std::optional<Instant> CrashDetector::lastAnswer(PartId part) const
+std::optional<Instant> CrashDetector::lastAnswer(TraitId part) const
 {
-    for (const std::unordered_map<PartId, Instant>* answers : {&newerAnswers_, &olderAnswers_}) {
+    for (const std::unordered_map<TraitId, Instant>* answers : {&newerAnswers_, &olderAnswers_}) {
         auto found = answers->find(part);
         if (found != answers->end())
             return found->second;
@@ -120,7 +120,7 @@
 void CrashDetector::onConnectionLost(
     const UpstreamPointer& endpoint, const std::vector<PromptPart>& prompt, Instant sentAt)
 {
-    std::vector<PartId> parts = sharedPartIds(prompt);
+    std::vector<TraitId> parts = sharedPartIds(prompt);
     if (!listener_ || parts.empty())
         return;
     parts.resize(std::min(parts.size(), maxPartsOfPrompt));
--- a/ragwortwinch/forward/crash_detector.h
+++ b/ragwortwinch/forward/crash_detector.h
@@ -32,11 +32,11 @@
     // `isConfirmed` if the endpoint refuses connections.
     virtual void onCrash(const EndpointCrash& crash, bool isConfirmed) = 0;
     // Prompts with a suspected part were answered completely.
-    virtual void onPromptAnswered(PartId part, Instant at) = 0;
+    virtual void onPromptAnswered(TraitId part, Instant at) = 0;
 };
 
 struct QuarantinedPart {
-    PartId part = 0;
+    TraitId part = 0;
     Instant until;
 };
 
@@ -53,7 +53,7 @@
 
     // `listener` must outlive the object or be set to null before it ends.
     void setListener(CrashListener* listener) { listener_ = listener; }
-    void setQuarantine(std::map<PartId, Instant> quarantinedUntil, std::set<PartId> suspected);
+    void setQuarantine(std::map<TraitId, Instant> quarantinedUntil, std::set<TraitId> suspected);
 
     // Returns a part of the prompt that is in quarantine, if any. The last part never is.
     std::optional<QuarantinedPart> findQuarantined(const std::vector<PromptPart>& prompt) const;
@@ -66,20 +66,20 @@
     class Probe;
 
     void onProbeEnd(const UpstreamPointer& endpoint, bool isRefused);
-    void remember(PartId part, Instant at);
-    std::optional<Instant> lastAnswer(PartId part) const;
+    void remember(TraitId part, Instant at);
+    std::optional<Instant> lastAnswer(TraitId part) const;
 
     boost::asio::io_context& io_;
     const Clock& clock_;
     Millis connectTimeout_;
     CrashListener* listener_ = nullptr;
-    std::map<PartId, Instant> quarantinedUntil_;
-    std::set<PartId> suspected_;
+    std::map<TraitId, Instant> quarantinedUntil_;
+    std::set<TraitId> suspected_;
     // Crashes whose probe has not ended.
     std::map<UpstreamPointer, EndpointCrash> probed_;
     // Times of last answers. The older map is dropped when the newer one is full.
-    std::unordered_map<PartId, Instant> newerAnswers_;
-    std::unordered_map<PartId, Instant> olderAnswers_;
+    std::unordered_map<TraitId, Instant> newerAnswers_;
+    std::unordered_map<TraitId, Instant> olderAnswers_;
     // Expires with the object, so that probes that end later are ignored.
     std::shared_ptr<CrashDetector*> self_;
 };
--- a/ragwortwinch/forward/crash_detector_test.cc
+++ b/ragwortwinch/forward/crash_detector_test.cc
@@ -23,7 +23,7 @@
         std::lock_guard<std::mutex> lock(mutex_);
         crashes_.emplace_back(crash, isConfirmed);
     }
-    void onPromptAnswered(PartId part, Instant) override
+    void onPromptAnswered(TraitId part, Instant) override
     {
         std::lock_guard<std::mutex> lock(mutex_);
         answered_.push_back(part);
@@ -33,7 +33,7 @@
         std::lock_guard<std::mutex> lock(mutex_);
         return crashes_;
     }
-    std::vector<PartId> answered() const
+    std::vector<TraitId> answered() const
     {
         std::lock_guard<std::mutex> lock(mutex_);
         return answered_;
@@ -42,7 +42,7 @@
 private:
     mutable std::mutex mutex_;
     std::vector<std::pair<EndpointCrash, bool>> crashes_;
-    std::vector<PartId> answered_;
+    std::vector<TraitId> answered_;
 };
 
 std::string prompt(const std::string& path, const std::string& id, const std::string& parts)
@@ -73,7 +73,7 @@
     CHECK(isConfirmed);
     CHECK(crash.endpoint == "e0");
     REQUIRE(crash.prompts.size() == 1);
-    CHECK(crash.prompts[0].parts == std::vector<PartId>{0xa1, 0xb2});
+    CHECK(crash.prompts[0].parts == std::vector<TraitId>{0xa1, 0xb2});
 }
 
 TEST_CASE("a broken connection to an endpoint that still listens is no confirmed crash")
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -233,7 +233,7 @@
     });
 }
 
-void ForwardServer::setQuarantine(std::map<PartId, Instant> quarantinedUntil, std::set<PartId> suspected)
+void ForwardServer::setQuarantine(std::map<TraitId, Instant> quarantinedUntil, std::set<TraitId> suspected)
 {
     boost::asio::post(
         io_, [this, quarantinedUntil = std::move(quarantinedUntil), suspected = std::move(suspected)] {
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -64,7 +64,7 @@
     // Sets who receives crashes of endpoints, on the forwarding thread. Call it before `run`.
     void setCrashListener(CrashListener* listener) { context_.crashes.setListener(listener); }
     // Sets the prompt parts in quarantine, and those of which answers are reported to the listener.
-    void setQuarantine(std::map<PartId, Instant> quarantinedUntil, std::set<PartId> suspected);
+    void setQuarantine(std::map<TraitId, Instant> quarantinedUntil, std::set<TraitId> suspected);
     // Returns the load from this VM, by endpoint id; updated every 100 ms.
     std::map<std::string, EndpointWork> work() const;
     // How far the forwarding thread was behind at most in the last second.
--- a/ragwortwinch/node/gateway_quarantine.cc
+++ b/ragwortwinch/node/gateway_quarantine.cc
@@ -10,7 +10,7 @@
         context_, [this, crash, isConfirmed] { quarantine_.onCrash(clock_.now(), crash, isConfirmed); });
 }
 
-void GatewayNode::onPromptAnswered(PartId part, Instant at)
+void GatewayNode::onPromptAnswered(TraitId part, Instant at)
 {
     asio::post(context_, [this, part, at] { quarantine_.onPromptAnswered(clock_.now(), part, at); });
 }
--- a/ragwortwinch/quarantine/crash_evidence.cc
+++ b/ragwortwinch/quarantine/crash_evidence.cc
@@ -19,40 +19,40 @@
     crashes_.erase(oldest);
 }
 
-void CrashEvidence::onPromptAnswered(PartId part, Instant at)
+void CrashEvidence::onPromptAnswered(TraitId part, Instant at)
 {
     Instant& known = answeredAt_.try_emplace(part, Instant::min()).first->second;
     known = std::max(known, at);
     if (answeredAt_.size() <= maxAnsweredParts)
         return;
     auto oldest = std::min_element(answeredAt_.begin(), answeredAt_.end(),
-        [](const std::pair<const PartId, Instant>& left, const std::pair<const PartId, Instant>& right) {
+        [](const std::pair<const TraitId, Instant>& left, const std::pair<const TraitId, Instant>& right) {
             return left.second < right.second;
         });
     answeredAt_.erase(oldest);
 }
 
-void CrashEvidence::disregard(PartId part, Instant at) { disregardedUntil_[part] = at; }
+void CrashEvidence::disregard(TraitId part, Instant at) { disregardedUntil_[part] = at; }
 
 void CrashEvidence::expire(Instant now)
 {
     std::erase_if(crashes_, [now](const std::pair<const CrashKey, Crash>& entry) {
         return now - entry.second.lostAt > retention;
     });
-    for (std::map<PartId, Instant>* times : {&answeredAt_, &disregardedUntil_})
+    for (std::map<TraitId, Instant>* times : {&answeredAt_, &disregardedUntil_})
         std::erase_if(*times,
-            [now](const std::pair<const PartId, Instant>& entry) { return now - entry.second > retention; });
+            [now](const std::pair<const TraitId, Instant>& entry) { return now - entry.second > retention; });
 }
 
-Instant CrashEvidence::answeredAt(PartId part) const
+Instant CrashEvidence::answeredAt(TraitId part) const
 {
     auto found = answeredAt_.find(part);
     return found == answeredAt_.end() ? Instant::min() : found->second;
 }
 
-std::set<PartId> CrashEvidence::involvedParts() const
+std::set<TraitId> CrashEvidence::involvedParts() const
 {
-    std::set<PartId> result;
+    std::set<TraitId> result;
     for (const auto& [key, crash] : crashes_) {
         for (const auto& [reporter, prompts] : crash.prompts) {
             for (const CrashedPrompt& prompt : prompts)
@@ -68,7 +68,7 @@
     for (const auto& [key, crash] : crashes_) {
         for (const auto& [reporter, prompts] : crash.prompts) {
             for (const CrashedPrompt& prompt : prompts) {
-                for (PartId part : std::set<PartId>(prompt.parts.begin(), prompt.parts.end())) {
+                for (TraitId part : std::set<TraitId>(prompt.parts.begin(), prompt.parts.end())) {
                     auto disregarded = disregardedUntil_.find(part);
                     bool isDisregarded
                         = disregarded != disregardedUntil_.end() && disregarded->second >= crash.lostAt;
@@ -87,7 +87,7 @@
     return result;
 }
 
-double CrashEvidence::harm(PartId part, const std::map<CrashKey, Involvement>& crashes) const
+double CrashEvidence::harm(TraitId part, const std::map<CrashKey, Involvement>& crashes) const
 {
     std::vector<Involvement> inOrder;
     int prompts = 0;
@@ -117,7 +117,7 @@
     CrashCauses result;
     Involvements unexplained = suspicions();
     while (true) {
-        PartId worst = 0;
+        TraitId worst = 0;
         double worstHarm = 0;
         for (const auto& [part, crashes] : unexplained) {
             double partHarm = harm(part, crashes);
@@ -141,9 +141,9 @@
     return result;
 }
 
-std::set<PartId> CrashEvidence::suspectedParts() const
+std::set<TraitId> CrashEvidence::suspectedParts() const
 {
-    std::set<PartId> result;
+    std::set<TraitId> result;
     for (const auto& [part, crashes] : suspicions())
         result.insert(part);
     return result;
--- a/ragwortwinch/quarantine/crash_evidence.h
+++ b/ragwortwinch/quarantine/crash_evidence.h
@@ -3,7 +3,7 @@
 //     CrashEvidence evidence;
 //     evidence.onCrash("cnx-1", crash);             // as seen by this VM or reported by a peer
 //     evidence.onPromptAnswered(part, answeredAt);        // a prompt with this part was answered completely
-//     for (PartId part : evidence.causes().harmful) ...
+//     for (TraitId part : evidence.causes().harmful) ...
 //
 // A harmful part crashes every endpoint that answers a prompt with it. So a part is suspected of the crashes
 // since a prompt with it was last answered, and it counts how many of them followed one another: each at a
@@ -26,9 +26,9 @@
 
 struct CrashCauses {
     // The most harmful part first.
-    std::vector<PartId> harmful;
+    std::vector<TraitId> harmful;
     // Other parts with crashes that none of the harmful ones explains; too few to call them harmful.
-    std::set<PartId> unclear;
+    std::set<TraitId> unclear;
 };
 
 class CrashEvidence {
@@ -50,20 +50,20 @@
 
     // Replaces what `reporter` reported about the same crash before.
     void onCrash(const std::string& reporter, const EndpointCrash& crash);
-    void onPromptAnswered(PartId part, Instant at);
+    void onPromptAnswered(TraitId part, Instant at);
     // Crashes up to `at` no longer count for the part.
-    void disregard(PartId part, Instant at);
+    void disregard(TraitId part, Instant at);
     // Forgets what is older than `retention`.
     void expire(Instant now);
 
     CrashCauses causes() const;
     // Parts of prompts in crashes after which no prompt with the part was answered. News of an answer matters
     // for these only.
-    std::set<PartId> suspectedParts() const;
+    std::set<TraitId> suspectedParts() const;
     // When a prompt with the part was last answered; Instant::min() if that is not known.
-    Instant answeredAt(PartId part) const;
+    Instant answeredAt(TraitId part) const;
     // Parts of prompts in any crash that is remembered.
-    std::set<PartId> involvedParts() const;
+    std::set<TraitId> involvedParts() const;
     std::size_t crashCount() const { return crashes_.size(); }
 
 private:
@@ -81,16 +81,16 @@
     };
     // Endpoint and incarnation.
     using CrashKey = std::pair<std::string, std::int64_t>;
-    using Involvements = std::map<PartId, std::map<CrashKey, Involvement>>;
+    using Involvements = std::map<TraitId, std::map<CrashKey, Involvement>>;
 
     // Leaves out crashes that don't count for a part.
     Involvements suspicions() const;
     // Returns how harmful the part is by the crashes, or 0 if they don't suffice.
-    double harm(PartId part, const std::map<CrashKey, Involvement>& crashes) const;
+    double harm(TraitId part, const std::map<CrashKey, Involvement>& crashes) const;
 
     std::map<CrashKey, Crash> crashes_;
-    std::map<PartId, Instant> answeredAt_;
-    std::map<PartId, Instant> disregardedUntil_;
+    std::map<TraitId, Instant> answeredAt_;
+    std::map<TraitId, Instant> disregardedUntil_;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/quarantine/crash_evidence_test.cc
+++ b/ragwortwinch/quarantine/crash_evidence_test.cc
@@ -7,10 +7,10 @@
 namespace ragwortwinch {
 namespace {
 
-using Parts = std::vector<PartId>;
+using Parts = std::vector<TraitId>;
 
-constexpr PartId shared = 0xa1;
-constexpr PartId harmful = 0xbad;
+constexpr TraitId shared = 0xa1;
+constexpr TraitId harmful = 0xbad;
 
 Instant at(int millis) { return Instant(Millis(1000000 + millis)); }
 
@@ -53,7 +53,7 @@
     evidence.onCrash("a", crash(4, 900, {shared}));
     evidence.onCrash("a", crash(5, 1200, {shared}));
     CHECK(evidence.causes().harmful.empty());
-    CHECK(evidence.suspectedParts() == std::set<PartId>{shared});
+    CHECK(evidence.suspectedParts() == std::set<TraitId>{shared});
     // Five are needed, since prompts with the part were answered before.
     evidence.onCrash("a", crash(6, 1500, {shared}));
     evidence.onCrash("a", crash(7, 1800, {shared}));
@@ -65,7 +65,7 @@
     CrashEvidence evidence;
     for (int number = 0; number < 6; ++number) {
         EndpointCrash both = crash(number, number * 300, {shared, harmful});
-        both.prompts.push_back({{shared, static_cast<PartId>(number)}, at(number * 300 - 90)});
+        both.prompts.push_back({{shared, static_cast<TraitId>(number)}, at(number * 300 - 90)});
         evidence.onCrash("a", both);
     }
     CHECK(evidence.causes().harmful == Parts{harmful});
@@ -74,16 +74,16 @@
 TEST_CASE("two harmful parts are found beside crashes of other causes")
 {
     CrashEvidence evidence;
-    constexpr PartId second = 0xbad2;
+    constexpr TraitId second = 0xbad2;
     for (int number = 0; number < 12; ++number) {
-        PartId part = number % 3 == 0 ? harmful
+        TraitId part = number % 3 == 0 ? harmful
             : number % 3 == 1         ? second
-                                      : static_cast<PartId>(100 + number);
-        evidence.onCrash("a", crash(number, number * 300, {shared, part, static_cast<PartId>(number)}));
+                                      : static_cast<TraitId>(100 + number);
+        evidence.onCrash("a", crash(number, number * 300, {shared, part, static_cast<TraitId>(number)}));
         evidence.onPromptAnswered(shared, at(number * 300 + 20));
     }
-    std::vector<PartId> parts = evidence.causes().harmful;
-    CHECK(std::set<PartId>(parts.begin(), parts.end()) == std::set<PartId>{harmful, second});
+    std::vector<TraitId> parts = evidence.causes().harmful;
+    CHECK(std::set<TraitId>(parts.begin(), parts.end()) == std::set<TraitId>{harmful, second});
 }
 
 TEST_CASE("reports of one crash by several VMs are one crash, and the latest report of a VM counts")
--- a/ragwortwinch/quarantine/endpoint_crash.h
+++ b/ragwortwinch/quarantine/endpoint_crash.h
@@ -9,12 +9,12 @@
 
 namespace ragwortwinch {
 
-// Identifies a part of a prompt that several prompts may share.
-using PartId = std::uint64_t;
+// Identifies what several requests may have in common: a part of their prompt.
+using TraitId = std::uint64_t;
 
 struct CrashedPrompt {
     // All but the last part, which belongs to the prompt alone.
-    std::vector<PartId> parts;
+    std::vector<TraitId> parts;
     // When the prompt was sent to the endpoint.
     Instant sentAt;
 };
--- a/ragwortwinch/quarantine/prompt_quarantine.cc
+++ b/ragwortwinch/quarantine/prompt_quarantine.cc
@@ -17,9 +17,9 @@
 // All VMs reach a decision by themselves, so only this many tell it to peers that lack evidence.
 constexpr std::size_t announcingVms = 3;
 
-std::string keyOf(PartId part) { return quarantineKeyPrefix + partIdText(part); }
+std::string keyOf(TraitId part) { return quarantineKeyPrefix + partIdText(part); }
 
-std::optional<PartId> partOfKey(std::string_view key)
+std::optional<TraitId> partOfKey(std::string_view key)
 {
     std::string_view prefix(quarantineKeyPrefix);
     return key.starts_with(prefix) ? parsePartId(key.substr(prefix.size())) : std::nullopt;
@@ -86,7 +86,7 @@
         .with("known_crashes", evidence_.crashCount());
 }
 
-void PromptQuarantine::onPromptAnswered(Instant now, PartId part, Instant at)
+void PromptQuarantine::onPromptAnswered(Instant now, TraitId part, Instant at)
 {
     Instant known = evidence_.answeredAt(part);
     bool isNews = known == Instant::min() || (suspectedParts_.contains(part) && at > known);
@@ -110,7 +110,7 @@
         if (entry != entries_.end() && at >= entry->second.since)
             release(now, part, Announcement::None, "answered");
     }
-    for (PartId part : news.released) {
+    for (TraitId part : news.released) {
         if (entries_.contains(part))
             release(now, part, Announcement::None, "released by a peer");
     }
@@ -121,24 +121,24 @@
 
 void PromptQuarantine::onStoreList(Instant now, const std::vector<StoreEntry>& entries)
 {
-    std::set<PartId> stored;
+    std::set<TraitId> stored;
     for (const StoreEntry& entry : entries) {
         onStoreEntry(now, entry.key);
-        if (std::optional<PartId> part = partOfKey(entry.key))
+        if (std::optional<TraitId> part = partOfKey(entry.key))
             stored.insert(*part);
     }
-    std::vector<PartId> missing;
+    std::vector<TraitId> missing;
     for (const auto& [part, entry] : entries_) {
         if (entry.isStored && !stored.contains(part))
             missing.push_back(part);
     }
-    for (PartId part : missing)
+    for (TraitId part : missing)
         release(now, part, Announcement::None, "removed from the store");
 }
 
 void PromptQuarantine::onStoreEntry(Instant now, const std::string& key)
 {
-    std::optional<PartId> part = partOfKey(key);
+    std::optional<TraitId> part = partOfKey(key);
     if (!part) {
         LogEvent("quarantine.unreadable_key", Severity::Warning).with("key", key);
         return;
@@ -154,7 +154,7 @@
 
 void PromptQuarantine::onStoreRemoval(Instant now, const std::string& key)
 {
-    std::optional<PartId> part = partOfKey(key);
+    std::optional<TraitId> part = partOfKey(key);
     if (!part)
         return;
     pendingWrites_.erase(*part);
@@ -165,7 +165,7 @@
     release(now, *part, Announcement::None, "removed from the store");
 }
 
-void PromptQuarantine::add(Instant now, PartId part, Instant until, bool isOwnDecision)
+void PromptQuarantine::add(Instant now, TraitId part, Instant until, bool isOwnDecision)
 {
     auto found = entries_.find(part);
     if (found != entries_.end()) {
@@ -189,7 +189,7 @@
         .with("for_ms", (until - now).count());
 }
 
-void PromptQuarantine::release(Instant now, PartId part, Announcement announcement, const char* reason)
+void PromptQuarantine::release(Instant now, TraitId part, Announcement announcement, const char* reason)
 {
     bool isStored = entries_[part].isStored;
     entries_.erase(part);
@@ -209,7 +209,7 @@
 void PromptQuarantine::decide(Instant now, const std::set<std::string>& livePeers)
 {
     CrashCauses causes = evidence_.causes();
-    for (PartId part : causes.harmful) {
+    for (TraitId part : causes.harmful) {
         auto known = entries_.find(part);
         bool isNew = known == entries_.end();
         add(now, part, isNew ? now + duration : known->second.until, /*isOwnDecision=*/true);
@@ -218,17 +218,17 @@
             news_.quarantinedUntil[part] = entry->second.until;
     }
     // A part whose crashes are all explained otherwise, or were before an answer that was heard of late.
-    std::set<PartId> involved = evidence_.involvedParts();
-    std::set<PartId> harmful(causes.harmful.begin(), causes.harmful.end());
-    std::vector<PartId> cleared;
+    std::set<TraitId> involved = evidence_.involvedParts();
+    std::set<TraitId> harmful(causes.harmful.begin(), causes.harmful.end());
+    std::vector<TraitId> cleared;
     for (const auto& [part, entry] : entries_) {
         bool isCleared = involved.contains(part) && !harmful.contains(part) && !causes.unclear.contains(part);
         if (entry.isOwnDecision && isCleared)
             cleared.push_back(part);
     }
-    for (PartId part : cleared)
+    for (TraitId part : cleared)
         release(now, part, Announcement::ToPeers, "its crashes have another cause");
-    std::set<PartId> suspected = evidence_.suspectedParts();
+    std::set<TraitId> suspected = evidence_.suspectedParts();
     if (suspected != suspectedParts_) {
         suspectedParts_ = std::move(suspected);
         isChanged_ = true;
@@ -237,12 +237,12 @@
 
 StoreOps PromptQuarantine::tick(Instant now, const std::set<std::string>& livePeers)
 {
-    std::vector<PartId> ended;
+    std::vector<TraitId> ended;
     for (const auto& [part, entry] : entries_) {
         if (now >= entry.until)
             ended.push_back(part);
     }
-    for (PartId part : ended)
+    for (TraitId part : ended)
         release(now, part, Announcement::None, "its time is over");
     if (isEvidenceChanged_) {
         isEvidenceChanged_ = false;
@@ -319,7 +319,7 @@
     for (const auto& [key, crash] : ownCrashes_)
         news.crashes.push_back(crash);
     // Without the answers, the peer would take its older crashes for unexplained ones.
-    for (PartId part : evidence_.involvedParts()) {
+    for (TraitId part : evidence_.involvedParts()) {
         if (evidence_.answeredAt(part) != Instant::min() && news.answeredAt.size() < maxNewsItems)
             news.answeredAt[part] = evidence_.answeredAt(part);
     }
@@ -329,9 +329,9 @@
 
 bool PromptQuarantine::takeChanged() { return std::exchange(isChanged_, false); }
 
-std::map<PartId, Instant> PromptQuarantine::quarantinedUntil() const
+std::map<TraitId, Instant> PromptQuarantine::quarantinedUntil() const
 {
-    std::map<PartId, Instant> result;
+    std::map<TraitId, Instant> result;
     for (const auto& [part, entry] : entries_)
         result[part] = entry.until;
     return result;
--- a/ragwortwinch/quarantine/prompt_quarantine.h
+++ b/ragwortwinch/quarantine/prompt_quarantine.h
@@ -55,7 +55,7 @@
     // The ids and incarnations of all registered endpoints.
     void onEndpoints(Instant now, std::set<std::pair<std::string, std::int64_t>> registered);
     // This VM received the whole answer to a prompt with this part.
-    void onPromptAnswered(Instant now, PartId part, Instant at);
+    void onPromptAnswered(Instant now, TraitId part, Instant at);
     void onNews(Instant now, const std::string& peer, const QuarantineNews& news);
     // All keys under `quarantineKeyPrefix`.
     void onStoreList(Instant now, const std::vector<StoreEntry>& entries);
@@ -75,9 +75,9 @@
     QuarantineNews allNews() const;
     // Returns whether `quarantinedUntil` or `suspectedParts` may have changed since the last call.
     bool takeChanged();
-    std::map<PartId, Instant> quarantinedUntil() const;
+    std::map<TraitId, Instant> quarantinedUntil() const;
     // Parts of which the answers to prompts are to be reported.
-    const std::set<PartId>& suspectedParts() const { return suspectedParts_; }
+    const std::set<TraitId>& suspectedParts() const { return suspectedParts_; }
 
 private:
     struct Entry {
@@ -105,26 +105,26 @@
     void addOwnCrash(const EndpointCrash& crash);
     // Puts parts into quarantine, and releases them, according to the evidence.
     void decide(Instant now, const std::set<std::string>& livePeers);
-    void add(Instant now, PartId part, Instant until, bool isOwnDecision);
-    void release(Instant now, PartId part, Announcement announcement, const char* reason);
+    void add(Instant now, TraitId part, Instant until, bool isOwnDecision);
+    void release(Instant now, TraitId part, Announcement announcement, const char* reason);
     StoreOps writeNext(Instant now, const std::set<std::string>& livePeers);
 
     std::string self_;
     OpIds& ids_;
     CrashEvidence evidence_;
-    std::map<PartId, Entry> entries_;
+    std::map<TraitId, Entry> entries_;
     std::vector<UnconfirmedCrash> unconfirmed_;
     // Ids and incarnations.
     std::set<std::pair<std::string, std::int64_t>> registered_;
     // By endpoint and incarnation.
     std::map<std::pair<std::string, std::int64_t>, EndpointCrash> ownCrashes_;
-    std::map<PartId, PendingWrite> pendingWrites_;
+    std::map<TraitId, PendingWrite> pendingWrites_;
     std::uint64_t pendingOp_ = 0;
-    PartId pendingPart_ = 0;
+    TraitId pendingPart_ = 0;
     bool isPendingRemoval_ = false;
     Instant nextWrite_;
     QuarantineNews news_;
-    std::set<PartId> suspectedParts_;
+    std::set<TraitId> suspectedParts_;
     bool isEvidenceChanged_ = false;
     bool isChanged_ = false;
 };
--- a/ragwortwinch/quarantine/prompt_quarantine_test.cc
+++ b/ragwortwinch/quarantine/prompt_quarantine_test.cc
@@ -6,11 +6,11 @@
 namespace ragwortwinch {
 namespace {
 
-constexpr PartId harmful = 0xbad;
+constexpr TraitId harmful = 0xbad;
 
 Instant at(int millis) { return Instant(Millis(1000000 + millis)); }
 
-EndpointCrash crash(int number, int lostMillis, PartId part = harmful)
+EndpointCrash crash(int number, int lostMillis, TraitId part = harmful)
 {
     return {"e" + std::to_string(number), 1, at(lostMillis), {{{part}, at(lostMillis - 100)}}};
 }
@@ -157,7 +157,7 @@
 {
     OpIds ids;
     PromptQuarantine quarantine("a", ids);
-    constexpr PartId innocent = 0xc0;
+    constexpr TraitId innocent = 0xc0;
     for (int number = 0; number < 3; ++number)
         quarantine.onCrash(at(number * 210), crash(number, number * 210, innocent), true);
     quarantine.tick(at(500), {});
--- a/ragwortwinch/quarantine/quarantine_fleet_test.cc
+++ b/ragwortwinch/quarantine/quarantine_fleet_test.cc
@@ -22,10 +22,10 @@
 constexpr Millis storePollInterval{500};
 constexpr Millis engineRestartTime{2500};
 // Parts from here on are harmful; parts below are shared by sound prompts.
-constexpr PartId firstHarmfulPart = 0xbad000;
-constexpr PartId firstPartOfAll = 1;
+constexpr TraitId firstHarmfulPart = 0xbad000;
+constexpr TraitId firstPartOfAll = 1;
 constexpr int firstParts = 4;
-constexpr PartId firstSubject = 1000;
+constexpr TraitId firstSubject = 1000;
 constexpr int subjects = 300;
 
 struct Load {
@@ -75,7 +75,7 @@
         arriveSound();
         for (int part = 0; part < load_.harmfulParts; ++part)
             time_.after(Millis(8000 + 2000 * part),
-                [this, part] { arriveHarmful(firstHarmfulPart + static_cast<PartId>(part)); });
+                [this, part] { arriveHarmful(firstHarmfulPart + static_cast<TraitId>(part)); });
         if (load_.hasOtherCrashes)
             crashForOtherCause();
         if (load_.hasVmFaults)
@@ -94,8 +94,8 @@
         bool isCutFromStore = false;
         // End of the last fault of this VM.
         Instant lastFault;
-        std::map<PartId, Instant> answers;
-        std::set<PartId> watched;
+        std::map<TraitId, Instant> answers;
+        std::set<TraitId> watched;
         std::map<std::string, bool> storeView;
         // The other VMs that it is connected to.
         std::set<std::size_t> peers;
@@ -107,7 +107,7 @@
     struct Running {
         std::size_t vm = 0;
         int generation = 0;
-        std::vector<PartId> parts;
+        std::vector<TraitId> parts;
         Instant sentAt;
         int attempt = 1;
     };
@@ -209,13 +209,13 @@
     void onWatchedChanged(std::size_t number)
     {
         Vm& vm = vms_[number];
-        std::set<PartId> added;
-        for (PartId part : vm.quarantine->suspectedParts()) {
+        std::set<TraitId> added;
+        for (TraitId part : vm.quarantine->suspectedParts()) {
             if (!vm.watched.contains(part))
                 added.insert(part);
         }
         vm.watched = vm.quarantine->suspectedParts();
-        for (PartId part : added) {
+        for (TraitId part : added) {
             auto answer = vm.answers.find(part);
             if (answer != vm.answers.end())
                 vm.quarantine->onPromptAnswered(time_.now(), part, answer->second);
@@ -276,9 +276,9 @@
         });
     }
 
-    bool isHarmful(const std::vector<PartId>& parts) const
+    bool isHarmful(const std::vector<TraitId>& parts) const
     {
-        return std::any_of(parts.begin(), parts.end(), [](PartId part) { return part >= firstHarmfulPart; });
+        return std::any_of(parts.begin(), parts.end(), [](TraitId part) { return part >= firstHarmfulPart; });
     }
 
     bool isInContact(std::size_t number) const { return time_.now() - vms_[number].lastFault > contactTime; }
@@ -286,7 +286,7 @@
     void arriveSound()
     {
         time_.after(gap(load_.soundRate), [this] { arriveSound(); });
-        std::vector<PartId> parts{firstPartOfAll + pick(firstParts), firstSubject + pick(subjects)};
+        std::vector<TraitId> parts{firstPartOfAll + pick(firstParts), firstSubject + pick(subjects)};
         std::size_t number = pick(vms_.size());
         if (!isRunning(number) || !isInContact(number))
             return;
@@ -295,7 +295,7 @@
         start(number, std::move(parts), 1, sound_.size());
     }
 
-    void arriveHarmful(PartId part)
+    void arriveHarmful(TraitId part)
     {
         time_.after(gap(load_.harmfulRate), [this, part] { arriveHarmful(part); });
         std::size_t number = pick(vms_.size());
@@ -304,11 +304,11 @@
     }
 
     // `sound` is one more than the index in `sound_`, or 0.
-    void start(std::size_t number, std::vector<PartId> parts, int attempt, std::size_t sound)
+    void start(std::size_t number, std::vector<TraitId> parts, int attempt, std::size_t sound)
     {
         Vm& vm = vms_[number];
-        std::map<PartId, Instant> quarantined = vm.quarantine->quarantinedUntil();
-        for (PartId part : parts) {
+        std::map<TraitId, Instant> quarantined = vm.quarantine->quarantinedUntil();
+        for (TraitId part : parts) {
             if (quarantined.contains(part)) {
                 outcome_.soundRefused += sound ? 1 : 0;
                 return;
@@ -321,7 +321,7 @@
                 continue;
             if (sound && attempt == 1)
                 sound_[sound - 1].hasBegun = true;
-            for (PartId part : parts) {
+            for (TraitId part : parts) {
                 if (part >= firstHarmfulPart)
                     arrivals_[part].push_back({time_.now(), isInContact(number)});
             }
@@ -348,7 +348,7 @@
         engine.running.erase(run);
         onVm(done.vm, done.generation, [this, done] {
             Vm& vm = vms_[done.vm];
-            for (PartId part : done.parts) {
+            for (TraitId part : done.parts) {
                 vm.answers[part] = time_.now();
                 if (vm.watched.contains(part))
                     vm.quarantine->onPromptAnswered(time_.now(), part, time_.now());
@@ -361,7 +361,7 @@
     {
         ++outcome_.crashes;
         if (cause) {
-            for (PartId part : engine.running[cause].parts) {
+            for (TraitId part : engine.running[cause].parts) {
                 if (part >= firstHarmfulPart)
                     crashes_[part].push_back(time_.now());
             }
@@ -482,8 +482,8 @@
     std::vector<Engine> engines_;
     std::map<std::string, bool> store_;
     std::vector<SoundPrompt> sound_;
-    std::map<PartId, std::vector<std::pair<Instant, bool>>> arrivals_;
-    std::map<PartId, std::vector<Instant>> crashes_;
+    std::map<TraitId, std::vector<std::pair<Instant, bool>>> arrivals_;
+    std::map<TraitId, std::vector<Instant>> crashes_;
     Outcome outcome_;
 };
 
--- a/ragwortwinch/quarantine/quarantine_news.cc
+++ b/ragwortwinch/quarantine/quarantine_news.cc
@@ -18,9 +18,9 @@
     return Millis(std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, maxMillis));
 }
 
-PartId readPart(const std::string& text)
+TraitId readPart(const std::string& text)
 {
-    std::optional<PartId> part = parsePartId(text);
+    std::optional<TraitId> part = parsePartId(text);
     if (!part)
         throw std::out_of_range("not a part's id");
     return *part;
@@ -39,7 +39,7 @@
     Json prompts = Json::array();
     for (const CrashedPrompt& prompt : crash.prompts) {
         Json parts = Json::array();
-        for (PartId part : prompt.parts)
+        for (TraitId part : prompt.parts)
             parts.push_back(partIdText(part));
         prompts.push_back({{"sent_ms_ago", (now - prompt.sentAt).count()}, {"parts", std::move(parts)}});
     }
@@ -79,11 +79,11 @@
 
 } // namespace
 
-std::string partIdText(PartId part) { return fmt::format("{:x}", part); }
+std::string partIdText(TraitId part) { return fmt::format("{:x}", part); }
 
-std::optional<PartId> parsePartId(std::string_view text)
+std::optional<TraitId> parsePartId(std::string_view text)
 {
-    PartId part = 0;
+    TraitId part = 0;
     std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), part, 16);
     if (result.ec != std::errc() || result.ptr != text.data() + text.size())
         return std::nullopt;
@@ -102,7 +102,7 @@
     for (const auto& [part, until] : news.quarantinedUntil)
         quarantined[partIdText(part)] = (until - now).count();
     Json released = Json::array();
-    for (PartId part : news.released)
+    for (TraitId part : news.released)
         released.push_back(partIdText(part));
     return Json({{"crashes", std::move(crashes)}, {"answered_ms_ago", std::move(answered)},
                     {"quarantined_ms", std::move(quarantined)}, {"released", std::move(released)}})
--- a/ragwortwinch/quarantine/quarantine_news.h
+++ b/ragwortwinch/quarantine/quarantine_news.h
@@ -22,11 +22,11 @@
     // Seen by the sender itself; each replaces its earlier report of the same crash.
     std::vector<EndpointCrash> crashes;
     // When prompts with these parts were last answered completely.
-    std::map<PartId, Instant> answeredAt;
+    std::map<TraitId, Instant> answeredAt;
     // Parts in quarantine, and until when.
-    std::map<PartId, Instant> quarantinedUntil;
+    std::map<TraitId, Instant> quarantinedUntil;
     // Parts that the sender has released from quarantine.
-    std::set<PartId> released;
+    std::set<TraitId> released;
 
     bool isEmpty() const
     {
@@ -42,7 +42,7 @@
 std::optional<QuarantineNews> decodeQuarantineNews(std::string_view bytes, Instant now);
 
 // Part ids are written in hexadecimal, as callers write them.
-std::string partIdText(PartId part);
-std::optional<PartId> parsePartId(std::string_view text);
+std::string partIdText(TraitId part);
+std::optional<TraitId> parsePartId(std::string_view text);
 
 } // namespace ragwortwinch
