Trace crashes to whole requests, not only to prompt parts

Cause: the quarantine knew parts of prompts only. A plain request has none, so its crashes were never reported and each VM retried it at a second endpoint. Class: a request that is fatal to its server, spread by a layer that repairs faults of servers.

A request has traits: its shared prompt parts, and itself as a whole, by a hash of method, target, body and prompt with the caller's key (HMAC-SHA256, 64 bits). The quarantine decides on both from the same reports. A complete reply to an equal request clears it. What one VM saw itself needs no tolerance for its order, so a retry counts as following the crash before it. A request under which two endpoints have ended is not offered to a third. Failed attempts log the identity.

--- a/ragwortwinch/base/digest.h
+++ b/ragwortwinch/base/digest.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <initializer_list>
 #include <mutex>
 #include <random>
 #include <string>
@@ -15,6 +16,10 @@
 // Returns the SHA-256 of `bytes` as 64 lower-case hexadecimal digits.
 std::string sha256Hex(std::string_view bytes);
 
+// Returns the first 64 bits of an HMAC-SHA-256 over `fields` with their lengths, so that no two lists of
+// fields are the same bytes. Throws std::runtime_error if OpenSSL lacks the algorithm.
+std::uint64_t keyedHash64(std::string_view key, std::initializer_list<std::string_view> fields);
+
 // Compares in a time that depends only on the lengths, so that timing reveals nothing about a secret.
 bool constantTimeEquals(std::string_view, std::string_view);
 
--- a/ragwortwinch/forward/crash_detector.cc
+++ b/ragwortwinch/forward/crash_detector.cc
@@ -1,7 +1,5 @@
 #include "ragwortwinch/forward/crash_detector.h"
 
-#include "ragwortwinch/forward/prompt_parts.h"
-
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -72,61 +70,68 @@
     for (TraitId part : suspected_) {
         std::optional<Instant> answer = former.contains(part) ? std::nullopt : lastAnswer(part);
         if (answer)
-            listener_->onPromptAnswered(part, *answer);
+            listener_->onAnswered(part, *answer);
     }
 }
 
-std::optional<QuarantinedPart> CrashDetector::findQuarantined(const std::vector<PromptPart>& prompt) const
+std::optional<QuarantinedTrait> CrashDetector::findQuarantined(const RequestTraits& traits) const
 {
     if (quarantinedUntil_.empty())
         return std::nullopt;
-    for (TraitId part : sharedPartIds(prompt)) {
-        auto found = quarantinedUntil_.find(part);
+    for (TraitId trait : traits.all()) {
+        auto found = quarantinedUntil_.find(trait);
         if (found != quarantinedUntil_.end())
-            return QuarantinedPart{part, found->second};
+            return QuarantinedTrait{trait, trait == traits.whole(), found->second};
     }
     return std::nullopt;
 }
 
-void CrashDetector::onPromptAnswered(const std::vector<PromptPart>& prompt)
+void CrashDetector::onAnswered(const RequestTraits& traits)
 {
     Instant now = clock_.now();
-    for (TraitId part : sharedPartIds(prompt)) {
-        remember(part, now);
-        if (listener_ && suspected_.contains(part))
-            listener_->onPromptAnswered(part, now);
+    for (TraitId trait : traits.all()) {
+        AnswerTimes& answers = trait == traits.whole() ? answeredRequests_ : answeredParts_;
+        answers.remember(trait, now);
+        if (listener_ && suspected_.contains(trait))
+            listener_->onAnswered(trait, now);
     }
 }
 
-void CrashDetector::remember(TraitId part, Instant at)
+void AnswerTimes::remember(TraitId trait, Instant at)
 {
-    if (newerAnswers_.size() >= maxAnsweredParts / 2) {
-        olderAnswers_ = std::move(newerAnswers_);
-        newerAnswers_.clear();
+    if (newer_.size() >= maxTraits / 2) {
+        older_ = std::move(newer_);
+        newer_.clear();
     }
-    newerAnswers_[part] = at;
+    newer_[trait] = at;
 }
 
-std::optional<Instant> CrashDetector::lastAnswer(TraitId part) const
+std::optional<Instant> AnswerTimes::last(TraitId trait) const
 {
-    for (const std::unordered_map<TraitId, Instant>* answers : {&newerAnswers_, &olderAnswers_}) {
-        auto found = answers->find(part);
+    for (const std::unordered_map<TraitId, Instant>* answers : {&newer_, &older_}) {
+        auto found = answers->find(trait);
         if (found != answers->end())
             return found->second;
     }
     return std::nullopt;
 }
 
+std::optional<Instant> CrashDetector::lastAnswer(TraitId trait) const
+{
+    std::optional<Instant> answer = answeredParts_.last(trait);
+    return answer ? answer : answeredRequests_.last(trait);
+}
+
 void CrashDetector::onConnectionLost(
-    const UpstreamPointer& endpoint, const std::vector<PromptPart>& prompt, Instant sentAt)
+    const UpstreamPointer& endpoint, const RequestTraits& traits, Instant sentAt)
 {
-    std::vector<TraitId> parts = sharedPartIds(prompt);
+    std::vector<TraitId> parts = traits.all();
     if (!listener_ || parts.empty())
         return;
-    parts.resize(std::min(parts.size(), maxPartsOfPrompt));
+    parts.resize(std::min(parts.size(), maxTraitsOfRequest));
     auto [entry, isNew] = probed_.try_emplace(
         endpoint, EndpointCrash{endpoint->record.id, endpoint->record.incarnation, clock_.now(), {}});
-    if (entry->second.prompts.size() < maxPrompts)
+    if (entry->second.prompts.size() < maxRequests)
         entry->second.prompts.push_back({std::move(parts), sentAt});
     if (isNew)
         std::make_shared<Probe>(*this, endpoint)->start(connectTimeout_);
--- a/ragwortwinch/forward/crash_detector.h
+++ b/ragwortwinch/forward/crash_detector.h
@@ -1,16 +1,17 @@
-// Detects crashes of endpoints on the forwarding path, remembers which prompts were answered, and knows the
-// prompt parts in quarantine.
+// Detects crashes of endpoints on the forwarding path, remembers which requests were answered, and knows the
+// prompt parts and whole requests in quarantine.
 //
-//     detector.onConnectionLost(endpoint, request.promptParts, sentAt);
-//     detector.onPromptAnswered(request.promptParts);
-//     if (std::optional<QuarantinedPart> part = detector.findQuarantined(request.promptParts)) refuse();
+//     RequestTraits traits(request);
+//     detector.onConnectionLost(endpoint, traits, sentAt);
+//     detector.onAnswered(traits);
+//     if (std::optional<QuarantinedTrait> trait = detector.findQuarantined(traits)) refuse();
 //
 // After a lost connection it connects once to the endpoint: only a refusal shows that the process has ended,
 // since a broken reply or a timeout may also be due to the network or a faulty endpoint. Confined to the
 // forwarding thread.
 #pragma once
 
-#include "ragwortwinch/forward/request_codec.h"
+#include "ragwortwinch/forward/request_traits.h"
 #include "ragwortwinch/forward/upstream_endpoint.h"
 #include "ragwortwinch/quarantine/endpoint_crash.h"
 
@@ -31,21 +32,35 @@
     virtual ~CrashListener() = default;
     // `isConfirmed` if the endpoint refuses connections.
     virtual void onCrash(const EndpointCrash& crash, bool isConfirmed) = 0;
-    // Prompts with a suspected part were answered completely.
-    virtual void onPromptAnswered(TraitId part, Instant at) = 0;
+    // Requests with a suspected trait were answered completely.
+    virtual void onAnswered(TraitId trait, Instant at) = 0;
 };
 
-struct QuarantinedPart {
-    TraitId part = 0;
+struct QuarantinedTrait {
+    TraitId trait = 0;
+    bool isWholeRequest = false;
     Instant until;
 };
 
+// When requests with each trait were last answered. Forgets the oldest ones beyond a limit.
+class AnswerTimes {
+public:
+    static constexpr std::size_t maxTraits = 8192;
+
+    void remember(TraitId trait, Instant at);
+    std::optional<Instant> last(TraitId trait) const;
+
+private:
+    // The older map is dropped when the newer one is full.
+    std::unordered_map<TraitId, Instant> newer_;
+    std::unordered_map<TraitId, Instant> older_;
+};
+
 class CrashDetector {
 public:
-    // Limits on what is kept of one crash, and of the time of the last answer of each part.
-    static constexpr std::size_t maxPrompts = 64;
-    static constexpr std::size_t maxPartsOfPrompt = 64;
-    static constexpr std::size_t maxAnsweredParts = 8192;
+    // Limits on what is kept of one crash.
+    static constexpr std::size_t maxRequests = 64;
+    static constexpr std::size_t maxTraitsOfRequest = 64;
 
     // The references must outlive the object. `connectTimeout` is for the connection that tests an endpoint.
     CrashDetector(boost::asio::io_context& io, const Clock& clock, Millis connectTimeout);
@@ -55,19 +70,17 @@
     void setListener(CrashListener* listener) { listener_ = listener; }
     void setQuarantine(std::map<TraitId, Instant> quarantinedUntil, std::set<TraitId> suspected);
 
-    // Returns a part of the prompt that is in quarantine, if any. The last part never is.
-    std::optional<QuarantinedPart> findQuarantined(const std::vector<PromptPart>& prompt) const;
-    void onPromptAnswered(const std::vector<PromptPart>& prompt);
-    // An attempt lost its connection, or the endpoint fell silent, after the prompt was sent at `sentAt`.
-    void onConnectionLost(
-        const UpstreamPointer& endpoint, const std::vector<PromptPart>& prompt, Instant sentAt);
+    // Returns a trait of the request that is in quarantine, if any.
+    std::optional<QuarantinedTrait> findQuarantined(const RequestTraits& traits) const;
+    void onAnswered(const RequestTraits& traits);
+    // An attempt lost its connection, or the endpoint fell silent, after the request was sent at `sentAt`.
+    void onConnectionLost(const UpstreamPointer& endpoint, const RequestTraits& traits, Instant sentAt);
 
 private:
     class Probe;
 
     void onProbeEnd(const UpstreamPointer& endpoint, bool isRefused);
-    void remember(TraitId part, Instant at);
-    std::optional<Instant> lastAnswer(TraitId part) const;
+    std::optional<Instant> lastAnswer(TraitId trait) const;
 
     boost::asio::io_context& io_;
     const Clock& clock_;
@@ -77,9 +90,9 @@
     std::set<TraitId> suspected_;
     // Crashes whose probe has not ended.
     std::map<UpstreamPointer, EndpointCrash> probed_;
-    // Times of last answers. The older map is dropped when the newer one is full.
-    std::unordered_map<TraitId, Instant> newerAnswers_;
-    std::unordered_map<TraitId, Instant> olderAnswers_;
+    // Apart, so that many different requests don't push out prompt parts.
+    AnswerTimes answeredParts_;
+    AnswerTimes answeredRequests_;
     // Expires with the object, so that probes that end later are ignored.
     std::shared_ptr<CrashDetector*> self_;
 };
--- a/ragwortwinch/forward/crash_detector_test.cc
+++ b/ragwortwinch/forward/crash_detector_test.cc
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <vector>
 
 namespace ragwortwinch {
@@ -23,7 +24,7 @@
         std::lock_guard<std::mutex> lock(mutex_);
         crashes_.emplace_back(crash, isConfirmed);
     }
-    void onPromptAnswered(TraitId part, Instant) override
+    void onAnswered(TraitId part, Instant) override
     {
         std::lock_guard<std::mutex> lock(mutex_);
         answered_.push_back(part);
@@ -73,7 +74,10 @@
     CHECK(isConfirmed);
     CHECK(crash.endpoint == "e0");
     REQUIRE(crash.prompts.size() == 1);
-    CHECK(crash.prompts[0].parts == std::vector<TraitId>{0xa1, 0xb2});
+    // The request as a whole comes first.
+    REQUIRE(crash.prompts[0].parts.size() == 3);
+    CHECK(crash.prompts[0].parts[1] == 0xa1);
+    CHECK(crash.prompts[0].parts[2] == 0xb2);
 }
 
 TEST_CASE("a broken connection to an endpoint that still listens is no confirmed crash")
@@ -133,6 +137,94 @@
     CHECK(endpoint.requests().size() == 1);
 }
 
+ForwardRequest plainRequest()
+{
+    ForwardRequest request;
+    request.method = "POST";
+    request.target = "/lookup/a?b=c";
+    request.body = "body";
+    request.caller.id = "r1";
+    request.caller.key = "key";
+    return request;
+}
+
+TEST_CASE("a request is the same as a whole in each try of its caller, and differs from all others")
+{
+    TraitId first = RequestTraits(plainRequest()).whole();
+    ForwardRequest again = plainRequest();
+    again.caller.id = "r2";
+    again.caller.timeLimit = Millis(700);
+    again.fields.set("Other", "value");
+    CHECK(RequestTraits(again).whole() == first);
+    std::set<TraitId> others;
+    ForwardRequest other = plainRequest();
+    other.method = "GET";
+    others.insert(RequestTraits(other).whole());
+    other = plainRequest();
+    // The same bytes, cut elsewhere.
+    other.target += "b";
+    other.body = "ody";
+    others.insert(RequestTraits(other).whole());
+    other = plainRequest();
+    other.body += "x";
+    others.insert(RequestTraits(other).whole());
+    for (const char* key : {"", "other"}) {
+        other = plainRequest();
+        other.caller.key = key;
+        others.insert(RequestTraits(other).whole());
+    }
+    CHECK(others.size() == 5);
+    CHECK_FALSE(others.contains(first));
+}
+
+TEST_CASE("a request in quarantine as a whole is refused as not run, and one with another body is served")
+{
+    ForwardFixture fixture;
+    fixture.setConfig(ForwardFixture::sampleConfig());
+    FakeEndpoint endpoint([](RawSocket& socket, const std::string& request) {
+        socket.send(answerTo(request, "fine"));
+        return true;
+    });
+    fixture.setEndpoints({&endpoint});
+    ForwardRequest harmful = plainRequest();
+    harmful.target = "/once/a";
+    harmful.body = "harm";
+    fixture.server().setQuarantine(
+        {{RequestTraits(harmful).whole(), SystemClock().now() + Millis(60000)}}, {});
+    RawSocket caller = fixture.connect();
+    caller.send(ForwardFixture::request("/once/a", "r1", "harm"));
+    std::string refusal = caller.readMessage();
+    CHECK(refusal.starts_with("HTTP/1.1 503 "));
+    CHECK(refusal.find("Retry-After: ") != std::string::npos);
+    CHECK(refusal.find("not run") != std::string::npos);
+    CHECK(endpoint.requests().empty());
+    caller.send(ForwardFixture::request("/once/a", "r2", "sound"));
+    CHECK(caller.readMessage().ends_with("fine"));
+}
+
+TEST_CASE("a request under which two endpoints have ended is not offered to a third one")
+{
+    std::atomic<int> arrivals{0};
+    auto crash = [&](RawSocket&, const std::string&) {
+        ++arrivals;
+        return false;
+    };
+    FakeEndpoint first(crash);
+    FakeEndpoint second(crash);
+    FakeEndpoint third(crash);
+    FakeEndpoint fourth(crash);
+    ForwardFixture fixture;
+    TrafficConfig config = ForwardFixture::sampleConfig();
+    for (TrafficRoute& route : config.routes)
+        route.maxEndpoints = 4;
+    fixture.setConfig(config);
+    fixture.setEndpoints({&first, &second, &third, &fourth});
+    RawSocket caller = fixture.connect();
+    caller.send(ForwardFixture::request("/safe/a", "r1"));
+    CHECK(caller.readMessage().starts_with("HTTP/1.1 502 "));
+    CHECK(arrivals.load() == 2);
+}
+
 TEST_CASE("answers to prompts with suspected parts are reported, also those from before the suspicion")
 {
     RecordingListener listener;
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -95,6 +95,7 @@
         refuse(ErrorKind::Draining, "this VM is stopping; the request was not run, use another VM");
         return false;
     }
+    traits_ = RequestTraits(*request_);
     chooseService();
     context_.retryBudgetOf(service_).onRequest(startedAt_);
     return true;
@@ -173,7 +174,7 @@
 
 bool Exchange::endIfQuarantined()
 {
-    std::optional<QuarantinedPart> found = context_.crashes.findQuarantined(request_->caller.promptParts);
+    std::optional<QuarantinedTrait> found = context_.crashes.findQuarantined(traits_);
     if (!found)
         return false;
     context_.metrics.onQuarantined(route_->name);
@@ -182,9 +183,13 @@
         finish(RequestOutcome::BrokenOff, replyStatus_);
         return true;
     }
-    std::string message = fmt::format("endpoints crash when they answer prompts with the part {:x}; "
-                                      "send the prompt without it or ask the operators to release it",
-        found->part);
+    std::string message = found->isWholeRequest
+        ? fmt::format(
+            "endpoints crash when they run this request; change it or ask the operators to release {:x}",
+            found->trait)
+        : fmt::format("endpoints crash when they answer prompts with the part {:x}; "
+                      "send the prompt without it or ask the operators to release it",
+            found->trait);
     if (mayHaveRun_)
         fail(statusBadGateway, RequestOutcome::Failed, ErrorKind::Quarantined, message + "; it may have run");
     else
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -18,6 +18,7 @@
 #include "ragwortwinch/forward/prefill_step.h"
 #include "ragwortwinch/forward/reply_sink.h"
 #include "ragwortwinch/forward/request_outcome.h"
+#include "ragwortwinch/forward/request_traits.h"
 
 #include <functional>
 #include <memory>
@@ -56,7 +57,7 @@
     void onDeadline();
     Millis timeLeft() const;
     void chooseService();
-    // Ends the exchange if a part of its prompt is in quarantine; returns whether it did.
+    // Ends the exchange if it or a part of its prompt is in quarantine; returns whether it did.
     bool endIfQuarantined();
     // Reports how the attempt ended to the detector of crashes.
     void reportToCrashDetector(const Attempt& attempt, AttemptEnd end);
@@ -112,6 +113,7 @@
     const TrafficTeam* team_ = nullptr;
     std::string service_;
     std::shared_ptr<const std::string> body_;
+    RequestTraits traits_;
     Instant startedAt_;
     Instant deadline_;
     boost::asio::steady_timer deadlineTimer_;
@@ -127,6 +129,8 @@
     Instant sentAt_;
     // Failed attempts that may have run the request.
     int possibleRuns_ = 0;
+    // Of these, the ones that lost the connection.
+    int lostConnections_ = 0;
     bool mayHaveRun_ = false;
     bool isUsageCounted_ = false;
     bool hasStartedPrefill_ = false;
--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -6,6 +6,8 @@
 #include "ragwortwinch/forward/internal/local_reply.h"
 #include "ragwortwinch/forward/prompt_parts.h"
 
+#include <fmt/format.h>
+
 namespace ragwortwinch {
 
 namespace {
@@ -14,6 +16,8 @@
 using internal::statusBadGateway;
 using internal::statusOk;
 
+// A request under which so many endpoints have ended is not offered to a further one.
+constexpr int maxLostConnections = 2;
 // Largest non-streamed reply, which is buffered whole.
 constexpr std::size_t maxWholeReplyBytes = 16 * 1024 * 1024;
 
@@ -101,9 +105,11 @@
     bool isLost = end == AttemptEnd::Silent
         || (end == AttemptEnd::Broken && (attempt.hasLostConnection() || attempt.isDelimitedByClose()));
     if (isAnswered)
-        context_.crashes.onPromptAnswered(request_->caller.promptParts);
-    else if (isLost)
-        context_.crashes.onConnectionLost(attempt.endpoint(), request_->caller.promptParts, sentAt_);
+        context_.crashes.onAnswered(traits_);
+    else if (isLost) {
+        ++lostConnections_;
+        context_.crashes.onConnectionLost(attempt.endpoint(), traits_, sentAt_);
+    }
 }
 
 bool Exchange::isStreamCut(const Attempt& attempt) const
@@ -141,6 +147,7 @@
             .with("status", end == AttemptEnd::Complete ? replyStatus_ : 0)
             .with("send", attempts_)
             .with("kept_connection", attempt->hasReusedChannel())
+            .with("identity", fmt::format("{:x}", traits_.whole()))
             .with("shared_parts", partIdsText(sharedPartIds(request_->caller.promptParts)))
             .with("after_event", events_.lastId());
     if (end == AttemptEnd::Broken || end == AttemptEnd::Silent || end == AttemptEnd::Complete)
@@ -200,6 +207,8 @@
         ++possibleRuns_;
     Instant now = context_.clock.now();
     bool isAllowed = mayHaveRun_ ? route_->mayRetry() && possibleRuns_ < route_->maxEndpoints : true;
+    if (lostConnections_ >= maxLostConnections)
+        return false;
     if (!isAllowed || attempts_ >= context_.options.maxAttempts || now >= deadline_)
         return false;
     if (isStreamStarted_ && events_.lastId().empty())
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -61,7 +61,7 @@
     void onFrame(const std::string& peer, const PeerFrame& frame) override;
     // Both run on the forwarding thread.
     void onCrash(const EndpointCrash& crash, bool isConfirmed) override;
-    void onPromptAnswered(TraitId part, Instant at) override;
+    void onAnswered(TraitId trait, Instant at) override;
 
     ForwardOptions makeForwardOptions() const;
     Result<std::unique_ptr<HttpServer>> startServer(
--- a/ragwortwinch/node/gateway_quarantine.cc
+++ b/ragwortwinch/node/gateway_quarantine.cc
@@ -10,9 +10,9 @@
         context_, [this, crash, isConfirmed] { quarantine_.onCrash(clock_.now(), crash, isConfirmed); });
 }
 
-void GatewayNode::onPromptAnswered(TraitId part, Instant at)
+void GatewayNode::onAnswered(TraitId trait, Instant at)
 {
-    asio::post(context_, [this, part, at] { quarantine_.onPromptAnswered(clock_.now(), part, at); });
+    asio::post(context_, [this, trait, at] { quarantine_.onPromptAnswered(clock_.now(), trait, at); });
 }
 
 void GatewayNode::tickQuarantine(Instant now)
--- a/ragwortwinch/quarantine/crash_evidence.cc
+++ b/ragwortwinch/quarantine/crash_evidence.cc
@@ -9,7 +9,7 @@
     Crash& known
         = crashes_.try_emplace({crash.endpoint, crash.incarnation}, Crash{crash.lostAt, {}}).first->second;
     known.lostAt = std::min(known.lostAt, crash.lostAt);
-    known.prompts[reporter] = crash.prompts;
+    known.byReporter[reporter] = {crash.lostAt, crash.prompts};
     if (crashes_.size() <= maxCrashes)
         return;
     auto oldest = std::min_element(crashes_.begin(), crashes_.end(),
@@ -54,8 +54,8 @@
 {
     std::set<TraitId> result;
     for (const auto& [key, crash] : crashes_) {
-        for (const auto& [reporter, prompts] : crash.prompts) {
-            for (const CrashedPrompt& prompt : prompts)
+        for (const auto& [reporter, report] : crash.byReporter) {
+            for (const CrashedPrompt& prompt : report.prompts)
                 result.insert(prompt.parts.begin(), prompt.parts.end());
         }
     }
@@ -66,8 +66,8 @@
 {
     Involvements result;
     for (const auto& [key, crash] : crashes_) {
-        for (const auto& [reporter, prompts] : crash.prompts) {
-            for (const CrashedPrompt& prompt : prompts) {
+        for (const auto& [reporter, report] : crash.byReporter) {
+            for (const CrashedPrompt& prompt : report.prompts) {
                 for (TraitId part : std::set<TraitId>(prompt.parts.begin(), prompt.parts.end())) {
                     auto disregarded = disregardedUntil_.find(part);
                     bool isDisregarded
@@ -76,9 +76,14 @@
                         continue;
                     Involvement& involvement
                         = result[part]
-                              .try_emplace(key, Involvement{crash.lostAt, prompt.sentAt, 0})
+                              .try_emplace(key, Involvement{crash.lostAt, prompt.sentAt, 0, {}})
                               .first->second;
                     involvement.sentAt = std::max(involvement.sentAt, prompt.sentAt);
+                    Involvement::Sight& sight
+                        = involvement.byReporter
+                              .try_emplace(reporter, Involvement::Sight{prompt.sentAt, report.lostAt})
+                              .first->second;
+                    sight.sentAt = std::max(sight.sentAt, prompt.sentAt);
                     ++involvement.prompts;
                 }
             }
@@ -87,6 +92,19 @@
     return result;
 }
 
+bool CrashEvidence::follows(const Involvement& former, const Involvement& later)
+{
+    if (later.sentAt > former.lostAt + orderTolerance)
+        return true;
+    // One VM knows the order of what it saw itself, such as of a crash and the retry after it.
+    for (const auto& [reporter, sight] : later.byReporter) {
+        auto before = former.byReporter.find(reporter);
+        if (before != former.byReporter.end() && sight.sentAt >= before->second.lostAt)
+            return true;
+    }
+    return false;
+}
+
 double CrashEvidence::harm(TraitId part, const std::map<CrashKey, Involvement>& crashes) const
 {
     std::vector<Involvement> inOrder;
@@ -98,12 +116,12 @@
     std::sort(inOrder.begin(), inOrder.end(),
         [](const Involvement& left, const Involvement& right) { return left.lostAt < right.lostAt; });
     int successive = 0;
-    Instant lastLostAt;
+    const Involvement* last = nullptr;
     for (const Involvement& involvement : inOrder) {
-        if (successive > 0 && involvement.sentAt <= lastLostAt + orderTolerance)
+        if (last && !follows(*last, involvement))
             continue;
         ++successive;
-        lastLostAt = involvement.lostAt;
+        last = &involvement;
     }
     int required = answeredAt(part) == Instant::min() ? harmfulCrashes : harmfulCrashesOfProvenPart;
     int total = static_cast<int>(inOrder.size());
--- a/ragwortwinch/quarantine/crash_evidence.h
+++ b/ragwortwinch/quarantine/crash_evidence.h
@@ -40,8 +40,8 @@
     static constexpr int harmfulCrashesOfProvenPart = 5;
     // So many more crashes make a part harmful even if only two of them followed one another.
     static constexpr int extraConcurrentCrashes = 2;
-    // A prompt follows a crash if it was sent this long after it: reports from other VMs are off by their
-    // time in transit, and VMs notice a crash one after the other.
+    // A prompt follows a crash that another VM saw if it was sent this long after it: reports from other VMs
+    // are off by their time in transit, and VMs notice a crash one after the other.
     static constexpr Millis orderTolerance{100};
     static constexpr Millis retention{10 * 60 * 1000};
     static constexpr std::size_t maxCrashes = 256;
@@ -67,10 +67,14 @@
     std::size_t crashCount() const { return crashes_.size(); }
 
 private:
+    struct Report {
+        // When the reporter lost the endpoint.
+        Instant lostAt;
+        std::vector<CrashedPrompt> prompts;
+    };
     struct Crash {
         Instant lostAt;
-        // By reporter.
-        std::map<std::string, std::vector<CrashedPrompt>> prompts;
+        std::map<std::string, Report> byReporter;
     };
     // How a part was involved in one crash.
     struct Involvement {
@@ -78,11 +82,19 @@
         // When the latest of its prompts was sent.
         Instant sentAt;
         int prompts = 0;
+        // The same by reporter, and when that one lost the endpoint.
+        struct Sight {
+            Instant sentAt;
+            Instant lostAt;
+        };
+        std::map<std::string, Sight> byReporter;
     };
     // Endpoint and incarnation.
     using CrashKey = std::pair<std::string, std::int64_t>;
     using Involvements = std::map<TraitId, std::map<CrashKey, Involvement>>;
 
+    // Whether the crash came from a request that was sent after the one before.
+    static bool follows(const Involvement& former, const Involvement& later);
     // Leaves out crashes that don't count for a part.
     Involvements suspicions() const;
     // Returns how harmful the part is by the crashes, or 0 if they don't suffice.
--- a/ragwortwinch/quarantine/crash_evidence_test.cc
+++ b/ragwortwinch/quarantine/crash_evidence_test.cc
@@ -77,8 +77,8 @@
     constexpr TraitId second = 0xbad2;
     for (int number = 0; number < 12; ++number) {
         TraitId part = number % 3 == 0 ? harmful
-            : number % 3 == 1         ? second
-                                      : static_cast<TraitId>(100 + number);
+            : number % 3 == 1          ? second
+                                       : static_cast<TraitId>(100 + number);
         evidence.onCrash("a", crash(number, number * 300, {shared, part, static_cast<TraitId>(number)}));
         evidence.onPromptAnswered(shared, at(number * 300 + 20));
     }
--- a/ragwortwinch/quarantine/endpoint_crash.h
+++ b/ragwortwinch/quarantine/endpoint_crash.h
@@ -9,11 +9,11 @@
 
 namespace ragwortwinch {
 
-// Identifies what several requests may have in common: a part of their prompt.
+// Identifies what several requests may have in common: a part of their prompt, or the request as a whole.
 using TraitId = std::uint64_t;
 
 struct CrashedPrompt {
-    // All but the last part, which belongs to the prompt alone.
+    // The request as a whole, and all parts of its prompt but the last, which belongs to the prompt alone.
     std::vector<TraitId> parts;
     // When the prompt was sent to the endpoint.
     Instant sentAt;
