Notice callers that close behind a pipelined request in the product's own mode

Engines and services worked on for callers of the OpenAI-style interface that had sent a further request and left.

Cause: the detector stopped when it found unread bytes, and the end of the connection behind them was never seen. While bytes are unread, POLLRDHUP is now polled every 250 ms.

--- a/ragwortwinch/net/http_server.h
+++ b/ragwortwinch/net/http_server.h
@@ -30,8 +30,7 @@
     virtual std::size_t writeStream(std::string chunk) = 0;
     // Ends the chunked response.
     virtual void endStream() = 0;
-    // True once the caller has closed its connection or only its sending side. If the caller has pipelined
-    // another request, its close is detected only when a `writeStream` fails.
+    // True once the caller has closed its connection or only its sending side.
     virtual bool isClosed() const = 0;
     virtual std::size_t unsentBytes() const = 0;
     // Sets a callback that runs once, on a server thread, when the caller disconnects or a `writeStream`
--- a/ragwortwinch/net/http_server_test.cc
+++ b/ragwortwinch/net/http_server_test.cc
@@ -105,6 +105,21 @@
     CHECK(running.handler->closedCount() == 1);
 }
 
+TEST_CASE("a handler is notified that its caller has closed the connection behind a pipelined request")
+{
+    for (bool byReset : {false, true}) {
+        CAPTURE(byReset);
+        RunningServer running;
+        RawSocket caller = running.sendRequest("/first");
+        REQUIRE(running.waitUntil([&] { return running.handler->requestCount() == 1; }));
+        caller.send(RunningServer::request("/second"));
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        byReset ? caller.reset() : caller.close();
+        CHECK(running.waitUntil([&] { return running.handler->closedCount() == 1; }));
+        CHECK(running.handler->at(0)->isClosed());
+    }
+}
+
 TEST_CASE("pipelined requests are answered in order, and their bytes are not mistaken for a close")
 {
     RunningServer running;
--- a/ragwortwinch/net/internal/disconnect_detector.h
+++ b/ragwortwinch/net/internal/disconnect_detector.h
@@ -4,15 +4,17 @@
 //     std::shared_ptr<DisconnectDetector> detector = DisconnectDetector::current();
 //     detector->start([state] { state->markClosed(); });
 //
-// Waits until the socket is readable and peeks, so that the reader loses no bytes. If unread bytes precede
-// the close, it is detected only at the next read or write. Closing only the sending side counts as closed.
-// Thread-safe. May outlive the socket.
+// Waits until the socket is readable and peeks, so that the reader loses no bytes. While bytes are unread,
+// the close behind them is polled for. Closing only the sending side counts as closed. Thread-safe. May
+// outlive the socket.
 #pragma once
 
 #include <asio.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <poll.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -25,6 +27,7 @@
     DisconnectDetector(asio::ip::tcp::socket& socket, asio::any_io_executor executor)
         : socket_(&socket)
         , executor_(std::move(executor))
+        , pollTimer_(executor_)
     {
     }
 
@@ -64,6 +67,9 @@
     }
 
 private:
+    // Half of the time within which the work for a caller that has left must stop.
+    static constexpr std::chrono::milliseconds pollInterval{250};
+
     enum class Peek { Closed, Bytes, Nothing };
 
     // Requires `mutex_` to be held.
@@ -75,6 +81,15 @@
                 [self = shared_from_this()](const asio::error_code& error) { self->onReadable(error); }));
     }
 
+    // Waiting for the socket would report the unread bytes again at once. Requires `mutex_` to be held.
+    void waitBehindBytes()
+    {
+        isWaiting_ = true;
+        pollTimer_.expires_after(pollInterval);
+        pollTimer_.async_wait(asio::bind_executor(executor_,
+            [self = shared_from_this()](const asio::error_code& error) { self->onReadable(error); }));
+    }
+
     void onReadable(const asio::error_code& error)
     {
         OnDisconnect onDisconnect;
@@ -88,6 +103,8 @@
             // did not wait because this handler was pending, so wait again.
             if (peek == Peek::Nothing)
                 wait();
+            if (peek == Peek::Bytes && onDisconnect_)
+                waitBehindBytes();
             if (peek != Peek::Closed)
                 return;
             onDisconnect = std::exchange(onDisconnect_, nullptr);
@@ -100,8 +117,10 @@
     {
         char byte = 0;
         ssize_t size = ::recv(socket_->native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (size > 0)
-            return Peek::Bytes;
+        if (size > 0) {
+            pollfd state{socket_->native_handle(), POLLRDHUP, 0};
+            return ::poll(&state, 1, 0) > 0 ? Peek::Closed : Peek::Bytes;
+        }
         bool isIdle = size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
         return isIdle ? Peek::Nothing : Peek::Closed;
     }
@@ -115,6 +134,7 @@
     std::mutex mutex_;
     asio::ip::tcp::socket* socket_;
     asio::any_io_executor executor_;
+    asio::steady_timer pollTimer_;
     OnDisconnect onDisconnect_;
     bool isWaiting_ = false;
 };
