Obey what an endpoint says of itself in its replies

EndpointNotices holds the two for an endpoint's incarnation and decides from when it may be sent to; all choosers ask it, for first sends, retries, prefills and resumptions. It is filled from the head of each reply but 421, which another endpoint sends. Leaving outlasts a list that names the endpoint again. A pause is lengthened by newer replies and shortened by none, and is up to a tenth longer, differently on each VM, so that they don't return together. When all usable endpoints of a service pause, callers get the time until the first returns. Not done: peers and planners are not told.

--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -1,5 +1,6 @@
 #include "ragwortwinch/forward/attempt.h"
 
+#include "ragwortwinch/base/log_event.h"
 #include "ragwortwinch/forward/internal/http_status.h"
 
 #include <array>
@@ -14,6 +15,7 @@
 namespace {
 
 using internal::statusMisdirected;
+using internal::statusUnavailable;
 constexpr std::uint32_t maxReplyHeaderBytes = 64 * 1024;
 // A connection with more stale replies than this is closed.
 constexpr int maxStaleReplies = 4;
@@ -142,6 +144,8 @@
         end(AttemptEnd::Broken);
         return;
     }
+    if (header.result_int() != statusMisdirected)
+        takeNotices(static_cast<int>(header.result_int()));
     if (!isStale_) {
         // Replies to calls other than requests, which have no id, need not name the limit.
         if (header.result_int() != statusMisdirected && !options_.requestId.empty())
@@ -164,6 +168,18 @@
         readBody();
 }
 
+void Attempt::takeNotices(int status)
+{
+    std::optional<Millis> pause = status == statusUnavailable ? reply_.retryAfter : std::nullopt;
+    if (!endpoint_->notices.onReply(clock_.now(), reply_.isLeaving, pause))
+        return;
+    LogEvent(reply_.isLeaving ? "endpoint.says_leaving" : "endpoint.says_pause")
+        .with("endpoint", endpoint_->record.id)
+        .with("request", options_.requestId)
+        .with("status", status)
+        .with("pause_ms", pause.value_or(Millis(0)).count());
+}
+
 void Attempt::readBody()
 {
     http::async_read_some(channel_->socket(), channel_->buffer(), *parser_,
--- a/ragwortwinch/forward/attempt.h
+++ b/ragwortwinch/forward/attempt.h
@@ -104,6 +104,8 @@
     void armTimer(Millis timeout, AttemptEnd end);
     void readHead();
     void onHead(const boost::system::error_code& error);
+    // Keeps what the endpoint says of itself in the current reply.
+    void takeNotices(int status);
     bool belongsToRequest(const EndpointReply& reply) const;
     void readBody();
     void onBody(const boost::system::error_code& error);
--- a/ragwortwinch/forward/endpoint_chooser.cc
+++ b/ragwortwinch/forward/endpoint_chooser.cc
@@ -77,7 +77,8 @@
     for (const UpstreamPointer& endpoint : candidates) {
         bool isExcluded
             = std::find(query.excluded.begin(), query.excluded.end(), endpoint.get()) != query.excluded.end();
-        if (isExcluded || !endpoint->isUsable() || !endpoint->limit.mayTake(now))
+        if (isExcluded || !endpoint->isUsable() || !endpoint->limit.mayTake(now)
+            || !endpoint->notices.maySend(now))
             continue;
         bool isBackingOff = endpoint->outcomes.isBackingOff(now);
         if (!isBackingOff && !endpoint->outcomes.isSuspect()) {
@@ -94,6 +95,19 @@
     return avoided;
 }
 
+std::optional<Instant> earliestReturn(const std::vector<UpstreamPointer>& endpoints, Instant now)
+{
+    std::optional<Instant> earliest;
+    for (const UpstreamPointer& endpoint : endpoints) {
+        if (!endpoint->isUsable() || endpoint->notices.isLeaving())
+            continue;
+        if (!endpoint->notices.isPaused(now))
+            return std::nullopt;
+        earliest = std::min(earliest.value_or(Instant::max()), endpoint->notices.pausedUntil());
+    }
+    return earliest;
+}
+
 UpstreamPointer LeastLoadedChooser::choose(
     const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now)
 {
--- a/ragwortwinch/forward/endpoint_chooser.h
+++ b/ragwortwinch/forward/endpoint_chooser.h
@@ -10,6 +10,7 @@
 #include "ragwortwinch/forward/upstream_endpoint.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -70,7 +71,12 @@
 // Returns the candidates that may be used now: registered, neither draining nor misdirected, not excluded,
 // within their request limits, and neither suspect nor backing off unless there are no others. Sets
 // `probeTarget` if the query may probe, a suspect endpoint is due for a probe, and there are healthy ones.
+// Endpoints that are leaving or paused by what they said in a reply are left out too.
 std::vector<UpstreamPointer> usableCandidates(const PlacementQuery& query,
     const std::vector<UpstreamPointer>& candidates, Instant now, UpstreamPointer& probeTarget);
 
+// Returns when the first endpoint may be sent to again if all that are usable have asked for a pause; nullopt
+// otherwise.
+std::optional<Instant> earliestReturn(const std::vector<UpstreamPointer>& endpoints, Instant now);
+
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/endpoint_directory.cc
+++ b/ragwortwinch/forward/endpoint_directory.cc
@@ -2,6 +2,7 @@
 
 #include "ragwortwinch/forward/endpoint_channel.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 
 namespace ragwortwinch {
@@ -21,8 +22,7 @@
     for (const EndpointRecord& record : records) {
         std::pair<std::string, std::int64_t> key(record.id, record.incarnation);
         auto known = endpoints_.find(key);
-        UpstreamPointer endpoint
-            = known != endpoints_.end() ? known->second : std::make_shared<UpstreamEndpoint>();
+        UpstreamPointer endpoint = known != endpoints_.end() ? known->second : makeEndpoint(key);
         if (endpoint->record.address != record.address)
             endpoint->isMisdirected = false;
         bool hasNewRole = known == endpoints_.end() || endpoint->record.role != record.role;
@@ -42,6 +42,8 @@
         if (next.contains(key))
             continue;
         endpoint->isRegistered = false;
+        if (endpoint->notices.isLeaving())
+            rememberLeaving(key);
         for (const ChannelPointer& channel : endpoint->idleChannels)
             channel->reset();
         endpoint->idleChannels.clear();
@@ -49,6 +51,23 @@
     endpoints_ = std::move(next);
 }
 
+UpstreamPointer EndpointDirectory::makeEndpoint(const Key& key)
+{
+    UpstreamPointer endpoint = std::make_shared<UpstreamEndpoint>();
+    endpoint->notices = EndpointNotices(
+        std::uniform_real_distribution<double>(0, EndpointNotices::maxReturnSpread)(random_));
+    if (std::find(leaving_.begin(), leaving_.end(), key) != leaving_.end())
+        endpoint->notices.markLeaving();
+    return endpoint;
+}
+
+void EndpointDirectory::rememberLeaving(const Key& key)
+{
+    leaving_.push_back(key);
+    if (leaving_.size() > maxLeaving)
+        leaving_.pop_front();
+}
+
 void EndpointDirectory::setPeerLoad(const std::map<std::string, EndpointWork>& work)
 {
     for (const auto& [key, endpoint] : endpoints_) {
--- a/ragwortwinch/forward/endpoint_directory.h
+++ b/ragwortwinch/forward/endpoint_directory.h
@@ -9,7 +9,10 @@
 
 #include "ragwortwinch/forward/upstream_endpoint.h"
 
+#include <cstdint>
+#include <deque>
 #include <map>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,7 +28,11 @@
 
 class EndpointDirectory {
 public:
-    EndpointDirectory() = default;
+    // VMs with different seeds return to an endpoint at different moments after it has asked for a pause.
+    explicit EndpointDirectory(std::uint32_t seed = 0)
+        : random_(seed)
+    {
+    }
     ~EndpointDirectory();
     EndpointDirectory(const EndpointDirectory&) = delete;
     EndpointDirectory& operator=(const EndpointDirectory&) = delete;
@@ -50,8 +57,18 @@
     std::vector<UpstreamPointer> all() const;
 
 private:
-    // By id and incarnation.
-    std::map<std::pair<std::string, std::int64_t>, UpstreamPointer> endpoints_;
+    // Id and incarnation.
+    using Key = std::pair<std::string, std::int64_t>;
+    // Limit on the endpoints that are remembered as leaving after their registration has ended.
+    static constexpr std::size_t maxLeaving = 4096;
+
+    UpstreamPointer makeEndpoint(const Key& key);
+    void rememberLeaving(const Key& key);
+
+    std::map<Key, UpstreamPointer> endpoints_;
+    // Endpoints that said that they are leaving; they may be listed again by mistake.
+    std::deque<Key> leaving_;
+    std::minstd_rand random_;
     std::map<std::string, std::vector<UpstreamPointer>> byService_;
 };
 
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -230,7 +230,15 @@
             "the endpoint failed and no other one is there; the request may have run");
         return;
     }
-    refuse(ErrorKind::NoCapacity, "no endpoint can take the request now; it was not run");
+    refuse(
+        ErrorKind::NoCapacity, "no endpoint can take the request now; it was not run", capacityRetryAfter());
+}
+
+Millis Exchange::capacityRetryAfter() const
+{
+    Instant now = context_.clock.now();
+    std::optional<Instant> returns = earliestReturn(context_.endpoints.endpointsOf(service_), now);
+    return returns ? std::max(*returns - now, context_.options.retryAfter) : context_.options.retryAfter;
 }
 
 ForwardedFields Exchange::forwardedFields(const UpstreamPointer& endpoint) const
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -95,6 +95,8 @@
     void finishWhole(int status, std::string head, std::string body);
     // `retryAfter` defaults to `ForwardOptions::retryAfter`.
     void refuse(ErrorKind kind, const std::string& message, std::optional<Millis> retryAfter = {});
+    // When a request that no endpoint can take now may come again.
+    Millis capacityRetryAfter() const;
     void reject(int status, ErrorKind kind, const std::string& message);
     void fail(int status, RequestOutcome outcome, ErrorKind kind, const std::string& message);
     void sendLocalReply(int status, ErrorKind kind, const std::string& message, Millis retryAfter);
--- a/ragwortwinch/forward/exchange_prompt.cc
+++ b/ragwortwinch/forward/exchange_prompt.cc
@@ -29,7 +29,8 @@
     std::optional<EngineChoice> choice = EngineChooser().choose(
         makeQuery(), prompt, context_.endpoints.endpointsOf(service_), context_.clock.now());
     if (!choice) {
-        refuse(ErrorKind::NoCapacity, "the engines can't read the prompt in time; it was not run");
+        refuse(ErrorKind::NoCapacity, "the engines can't read the prompt in time; it was not run",
+            capacityRetryAfter());
         return;
     }
     promptPriority_ = choice->priority;
--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -198,7 +198,8 @@
         fail(statusBadGateway, RequestOutcome::Failed, ErrorKind::OutcomeUnknown,
             "the endpoint broke off; the request may have run");
     else
-        refuse(ErrorKind::NoCapacity, "the endpoints have no room; the request was not run");
+        refuse(ErrorKind::NoCapacity, "the endpoints have no room; the request was not run",
+            capacityRetryAfter());
 }
 
 bool Exchange::tryRetry(bool attemptMayHaveRun)
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -21,6 +21,7 @@
     : options_(options)
     , metrics_(metrics)
     , chooser_(std::move(chooser))
+    , endpoints_(static_cast<std::uint32_t>(std::hash<std::string>()(options.vm)))
     , context_{io_, codec, clock, options, traffic, usage, std::move(clusterUnixMillis), endpoints_,
           *chooser_, metrics, log_}
     , acceptor_(io_)
--- a/ragwortwinch/forward/request_codec.h
+++ b/ragwortwinch/forward/request_codec.h
@@ -65,6 +65,10 @@
     bool isSigned = false;
     // The requests a second that the endpoint takes from all VMs together, if it names a limit.
     std::optional<double> requestLimit;
+    // The endpoint is leaving and wants no new requests.
+    bool isLeaving = false;
+    // How long the endpoint wants no requests from this VM; meaningful in refusals.
+    std::optional<Millis> retryAfter;
     // How long the endpoint keeps an idle connection open, if announced.
     std::optional<Millis> keepAlive;
 };
@@ -87,6 +91,12 @@
     virtual void appendLocalReply(std::string& out, const std::string& requestId) const = 0;
 };
 
+// Parses the value of a Retry-After field: seconds, which may have fractions. Dates, which say nothing
+// without the sender's clock, and other values yield nullopt; long times are cut to `maxRetryAfter`.
+std::optional<Millis> parseRetryAfter(std::string_view text);
+// A longer time is not credible: an endpoint registers or leaves within it.
+inline constexpr Millis maxRetryAfter{10 * 60 * 1000};
+
 // Returns whether a field must not be forwarded: it applies to a single connection, or the system sets or
 // handles it itself.
 bool isConnectionField(std::string_view name);
--- a/ragwortwinch/forward/upstream_endpoint.h
+++ b/ragwortwinch/forward/upstream_endpoint.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "ragwortwinch/forward/endpoint_limit.h"
+#include "ragwortwinch/forward/endpoint_notices.h"
 #include "ragwortwinch/forward/engine_load.h"
 #include "ragwortwinch/forward/outcome_tracker.h"
 #include "ragwortwinch/forward/prompt_cache_model.h"
@@ -36,6 +37,7 @@
     PromptCacheModel promptCache;
     OutcomeTracker outcomes;
     EndpointLimit limit;
+    EndpointNotices notices;
     // Most recently used last.
     std::vector<std::shared_ptr<EndpointChannel>> idleChannels;
     std::int64_t openChannels = 0;
