--- a/ragwortwinch/forward/request_codec.cc
+++ b/ragwortwinch/forward/request_codec.cc
@@ -25,7 +25,7 @@
     std::from_chars_result result
         = std::from_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed);
     bool isNumber = !text.empty() && result.ec == std::errc() && result.ptr == text.data() + text.size();
-    if (!isNumber || !(seconds >= 0))
+    if (!isNumber || !std::isfinite(seconds) || seconds < 0)
         return std::nullopt;
     double limit = std::chrono::duration<double>(maxRetryAfter).count();
     // Rounds up, so that the named time is over.
