--- a/testing/forward/fake_endpoint.h
+++ b/testing/forward/fake_endpoint.h
@@ -35,7 +35,7 @@
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         socklen_t size = sizeof(address);
         sockaddr* generic = reinterpret_cast<sockaddr*>(&address);
-        bool isListening = ::bind(listener_, generic, size) == 0 && ::listen(listener_, 64) == 0
+        bool isListening = ::bind(listener_, generic, size) == 0 && ::listen(listener_, SOMAXCONN) == 0
             && ::getsockname(listener_, generic, &size) == 0;
         if (!isListening)
             throw std::runtime_error("a test endpoint can't listen on the loopback address");
