--- a/ragwortwinch/forward/endpoint_notice_test.cc
+++ b/ragwortwinch/forward/endpoint_notice_test.cc
@@ -61,7 +61,9 @@
                     + "\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkOf("id: 1\ndata: x\n\n") + "0\r\n\r\n";
             }},
     };
-    for (const auto& [kind, reply] : replies) {
+    for (const auto& entry : replies) {
+        const std::string& kind = entry.first;
+        const std::function<std::string(const std::string&)>& reply = entry.second;
         CAPTURE(kind);
         FakeEndpoint leaving(
             replyWith([&](const std::string& request) { return withField(reply(request), "Leaving: 1"); }));
--- a/ragwortwinch/membership/peer_heartbeat.cc
+++ b/ragwortwinch/membership/peer_heartbeat.cc
@@ -10,11 +10,10 @@
 
 namespace {
 
-enum HeartbeatFlag : std::uint8_t {
-    readyFlag = 1,
-    leavingFlag = 2,
-    storeDownFlag = 4,
-};
+// The bits of a heartbeat's flags.
+constexpr std::uint8_t readyFlag = 1;
+constexpr std::uint8_t leavingFlag = 2;
+constexpr std::uint8_t storeDownFlag = 4;
 
 enum class NewsSection : std::uint8_t {
     Loads = 1,
