Name the quarantine after requests, not prompts

Renames and comments only: it keeps whole requests out too. Keys of the store, messages between VMs, metrics and log lines keep their names.

--- a/ragwortwinch/forward/crash_detector.cc
+++ b/ragwortwinch/forward/crash_detector.cc
@@ -131,8 +131,8 @@
     parts.resize(std::min(parts.size(), maxTraitsOfRequest));
     auto [entry, isNew] = probed_.try_emplace(
         endpoint, EndpointCrash{endpoint->record.id, endpoint->record.incarnation, clock_.now(), {}});
-    if (entry->second.prompts.size() < maxRequests)
-        entry->second.prompts.push_back({std::move(parts), sentAt});
+    if (entry->second.requests.size() < maxRequests)
+        entry->second.requests.push_back({std::move(parts), sentAt});
     if (isNew)
         std::make_shared<Probe>(*this, endpoint)->start(connectTimeout_);
 }
--- a/ragwortwinch/forward/crash_detector_test.cc
+++ b/ragwortwinch/forward/crash_detector_test.cc
@@ -73,11 +73,11 @@
     const auto [crash, isConfirmed] = listener.crashes()[0];
     CHECK(isConfirmed);
     CHECK(crash.endpoint == "e0");
-    REQUIRE(crash.prompts.size() == 1);
+    REQUIRE(crash.requests.size() == 1);
     // The request as a whole comes first.
-    REQUIRE(crash.prompts[0].parts.size() == 3);
-    CHECK(crash.prompts[0].parts[1] == 0xa1);
-    CHECK(crash.prompts[0].parts[2] == 0xb2);
+    REQUIRE(crash.requests[0].traits.size() == 3);
+    CHECK(crash.requests[0].traits[1] == 0xa1);
+    CHECK(crash.requests[0].traits[2] == 0xb2);
 }
 
 TEST_CASE("a broken connection to an endpoint that still listens is no confirmed crash")
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -23,7 +23,7 @@
 #include "ragwortwinch/node/gateway_duties.h"
 #include "ragwortwinch/node/gateway_handlers.h"
 #include "ragwortwinch/node/store_runner.h"
-#include "ragwortwinch/quarantine/prompt_quarantine.h"
+#include "ragwortwinch/quarantine/request_quarantine.h"
 #include "ragwortwinch/routing/endpoint_registry.h"
 #include "ragwortwinch/store/store_follower.h"
 #include "ragwortwinch/usage/usage_flusher.h"
@@ -155,7 +155,7 @@
     std::set<std::string> limitSharingVms_;
     std::unique_ptr<VmRegistration> registration_;
     PeerLinks links_;
-    PromptQuarantine quarantine_;
+    RequestQuarantine quarantine_;
     // Incarnations of the connected peers that were told everything about the quarantine.
     std::map<std::string, std::uint64_t> informedPeers_;
     UsageFlusher flusher_;
--- a/ragwortwinch/node/gateway_quarantine.cc
+++ b/ragwortwinch/node/gateway_quarantine.cc
@@ -12,7 +12,7 @@
 
 void GatewayNode::onAnswered(TraitId trait, Instant at)
 {
-    asio::post(context_, [this, trait, at] { quarantine_.onPromptAnswered(clock_.now(), trait, at); });
+    asio::post(context_, [this, trait, at] { quarantine_.onAnswered(clock_.now(), trait, at); });
 }
 
 void GatewayNode::tickQuarantine(Instant now)
--- a/ragwortwinch/quarantine/crash_evidence.cc
+++ b/ragwortwinch/quarantine/crash_evidence.cc
@@ -9,7 +9,7 @@
     Crash& known
         = crashes_.try_emplace({crash.endpoint, crash.incarnation}, Crash{crash.lostAt, {}}).first->second;
     known.lostAt = std::min(known.lostAt, crash.lostAt);
-    known.byReporter[reporter] = {crash.lostAt, crash.prompts};
+    known.byReporter[reporter] = {crash.lostAt, crash.requests};
     if (crashes_.size() <= maxCrashes)
         return;
     auto oldest = std::min_element(crashes_.begin(), crashes_.end(),
@@ -19,7 +19,7 @@
     crashes_.erase(oldest);
 }
 
-void CrashEvidence::onPromptAnswered(TraitId part, Instant at)
+void CrashEvidence::onAnswered(TraitId part, Instant at)
 {
     Instant& known = answeredAt_.try_emplace(part, Instant::min()).first->second;
     known = std::max(known, at);
@@ -55,8 +55,8 @@
     std::set<TraitId> result;
     for (const auto& [key, crash] : crashes_) {
         for (const auto& [reporter, report] : crash.byReporter) {
-            for (const CrashedPrompt& prompt : report.prompts)
-                result.insert(prompt.parts.begin(), prompt.parts.end());
+            for (const CrashedRequest& prompt : report.requests)
+                result.insert(prompt.traits.begin(), prompt.traits.end());
         }
     }
     return result;
@@ -67,8 +67,8 @@
     Involvements result;
     for (const auto& [key, crash] : crashes_) {
         for (const auto& [reporter, report] : crash.byReporter) {
-            for (const CrashedPrompt& prompt : report.prompts) {
-                for (TraitId part : std::set<TraitId>(prompt.parts.begin(), prompt.parts.end())) {
+            for (const CrashedRequest& prompt : report.requests) {
+                for (TraitId part : std::set<TraitId>(prompt.traits.begin(), prompt.traits.end())) {
                     auto disregarded = disregardedUntil_.find(part);
                     bool isDisregarded
                         = disregarded != disregardedUntil_.end() && disregarded->second >= crash.lostAt;
@@ -84,7 +84,7 @@
                               .try_emplace(reporter, Involvement::Sight{prompt.sentAt, report.lostAt})
                               .first->second;
                     sight.sentAt = std::max(sight.sentAt, prompt.sentAt);
-                    ++involvement.prompts;
+                    ++involvement.requests;
                 }
             }
         }
@@ -108,10 +108,10 @@
 double CrashEvidence::harm(TraitId part, const std::map<CrashKey, Involvement>& crashes) const
 {
     std::vector<Involvement> inOrder;
-    int prompts = 0;
+    int requests = 0;
     for (const auto& [key, involvement] : crashes) {
         inOrder.push_back(involvement);
-        prompts += involvement.prompts;
+        requests += involvement.requests;
     }
     std::sort(inOrder.begin(), inOrder.end(),
         [](const Involvement& left, const Involvement& right) { return left.lostAt < right.lostAt; });
@@ -127,7 +127,7 @@
     int total = static_cast<int>(inOrder.size());
     bool isHarmful
         = successive >= required || (successive >= 2 && total >= required + extraConcurrentCrashes);
-    return isHarmful ? static_cast<double>(successive) * total / prompts : 0;
+    return isHarmful ? static_cast<double>(successive) * total / requests : 0;
 }
 
 CrashCauses CrashEvidence::causes() const
--- a/ragwortwinch/quarantine/crash_evidence.h
+++ b/ragwortwinch/quarantine/crash_evidence.h
@@ -1,15 +1,15 @@
-// Infers from crashes of endpoints which prompt parts cause them.
+// Infers from crashes of endpoints which traits of requests cause them: prompt parts, or whole requests.
 //
 //     CrashEvidence evidence;
 //     evidence.onCrash("cnx-1", crash);             // as seen by this VM or reported by a peer
-//     evidence.onPromptAnswered(part, answeredAt);        // a prompt with this part was answered completely
+//     evidence.onAnswered(part, answeredAt);        // a request with this trait was answered completely
 //     for (TraitId part : evidence.causes().harmful) ...
 //
-// A harmful part crashes every endpoint that answers a prompt with it. So a part is suspected of the crashes
-// since a prompt with it was last answered, and it counts how many of them followed one another: each at a
-// prompt that was sent after the crash before it. Endpoints that crash together for another reason count as
-// one. Of the suspects, the one that explains most with the fewest prompts is found harmful first; crashes
-// that it explains count for no other part.
+// Below, a part is either. A harmful one crashes every endpoint that answers a request with it. So a part is
+// suspected of the crashes since a request with it was last answered, and it counts how many of them followed
+// one another: each at a request that was sent after the crash before it. Endpoints that crash together for
+// another reason count as one. Of the suspects, the one that explains most with the fewest requests is found
+// harmful first; crashes that it explains count for no other part.
 //
 // All VMs reach the same result from the same reports. Not thread-safe.
 #pragma once
@@ -50,7 +50,7 @@
 
     // Replaces what `reporter` reported about the same crash before.
     void onCrash(const std::string& reporter, const EndpointCrash& crash);
-    void onPromptAnswered(TraitId part, Instant at);
+    void onAnswered(TraitId part, Instant at);
     // Crashes up to `at` no longer count for the part.
     void disregard(TraitId part, Instant at);
     // Forgets what is older than `retention`.
@@ -70,7 +70,7 @@
     struct Report {
         // When the reporter lost the endpoint.
         Instant lostAt;
-        std::vector<CrashedPrompt> prompts;
+        std::vector<CrashedRequest> requests;
     };
     struct Crash {
         Instant lostAt;
@@ -81,7 +81,7 @@
         Instant lostAt;
         // When the latest of its prompts was sent.
         Instant sentAt;
-        int prompts = 0;
+        int requests = 0;
         // The same by reporter, and when that one lost the endpoint.
         struct Sight {
             Instant sentAt;
--- a/ragwortwinch/quarantine/crash_evidence_test.cc
+++ b/ragwortwinch/quarantine/crash_evidence_test.cc
@@ -25,10 +25,10 @@
     CrashEvidence evidence;
     evidence.onCrash("a", crash(1, 0, {shared, harmful, 1}));
     evidence.onCrash("b", crash(2, 300, {shared, harmful, 2}));
-    evidence.onPromptAnswered(shared, at(350));
+    evidence.onAnswered(shared, at(350));
     CHECK(evidence.causes().harmful.empty());
     evidence.onCrash("c", crash(3, 600, {shared, harmful, 1}));
-    evidence.onPromptAnswered(shared, at(650));
+    evidence.onAnswered(shared, at(650));
     CHECK(evidence.causes().harmful == Parts{harmful});
 }
 
@@ -47,7 +47,7 @@
     CrashEvidence evidence;
     evidence.onCrash("a", crash(1, 0, {shared}));
     evidence.onCrash("a", crash(2, 300, {shared}));
-    evidence.onPromptAnswered(shared, at(400));
+    evidence.onAnswered(shared, at(400));
     CHECK(evidence.suspectedParts().empty());
     evidence.onCrash("a", crash(3, 600, {shared}));
     evidence.onCrash("a", crash(4, 900, {shared}));
@@ -65,7 +65,7 @@
     CrashEvidence evidence;
     for (int number = 0; number < 6; ++number) {
         EndpointCrash both = crash(number, number * 300, {shared, harmful});
-        both.prompts.push_back({{shared, static_cast<TraitId>(number)}, at(number * 300 - 90)});
+        both.requests.push_back({{shared, static_cast<TraitId>(number)}, at(number * 300 - 90)});
         evidence.onCrash("a", both);
     }
     CHECK(evidence.causes().harmful == Parts{harmful});
@@ -80,7 +80,7 @@
             : number % 3 == 1          ? second
                                        : static_cast<TraitId>(100 + number);
         evidence.onCrash("a", crash(number, number * 300, {shared, part, static_cast<TraitId>(number)}));
-        evidence.onPromptAnswered(shared, at(number * 300 + 20));
+        evidence.onAnswered(shared, at(number * 300 + 20));
     }
     std::vector<TraitId> parts = evidence.causes().harmful;
     CHECK(std::set<TraitId>(parts.begin(), parts.end()) == std::set<TraitId>{harmful, second});
--- a/ragwortwinch/quarantine/endpoint_crash.h
+++ b/ragwortwinch/quarantine/endpoint_crash.h
@@ -1,4 +1,4 @@
-// A crash of an endpoint, and the prompts that were being answered there, as one VM saw them.
+// A crash of an endpoint, and the requests that were running there, as one VM saw them.
 #pragma once
 
 #include "ragwortwinch/base/time.h"
@@ -12,10 +12,10 @@
 // Identifies what several requests may have in common: a part of their prompt, or the request as a whole.
 using TraitId = std::uint64_t;
 
-struct CrashedPrompt {
+struct CrashedRequest {
     // The request as a whole, and all parts of its prompt but the last, which belongs to the prompt alone.
-    std::vector<TraitId> parts;
-    // When the prompt was sent to the endpoint.
+    std::vector<TraitId> traits;
+    // When it was sent to the endpoint.
     Instant sentAt;
 };
 
@@ -25,7 +25,7 @@
     std::int64_t incarnation = 0;
     // When the first connection was lost.
     Instant lostAt;
-    std::vector<CrashedPrompt> prompts;
+    std::vector<CrashedRequest> requests;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/quarantine/quarantine_fleet_test.cc
+++ b/ragwortwinch/quarantine/quarantine_fleet_test.cc
@@ -1,5 +1,5 @@
 // Plays fleets of VMs in front of engines that crash, in virtual time.
-#include "ragwortwinch/quarantine/prompt_quarantine.h"
+#include "ragwortwinch/quarantine/request_quarantine.h"
 #include "testing/protocol/virtual_time.h"
 
 #include <algorithm>
@@ -87,7 +87,7 @@
 private:
     struct Vm {
         std::unique_ptr<OpIds> ids;
-        std::unique_ptr<PromptQuarantine> quarantine;
+        std::unique_ptr<RequestQuarantine> quarantine;
         int generation = 0;
         bool isFrozen = false;
         bool isCutFromPeers = false;
@@ -141,7 +141,7 @@
         vm.generation = generation;
         vm.lastFault = lastFault;
         vm.ids = std::make_unique<OpIds>();
-        vm.quarantine = std::make_unique<PromptQuarantine>(name(number), *vm.ids);
+        vm.quarantine = std::make_unique<RequestQuarantine>(name(number), *vm.ids);
         vm.nextStorePoll = time_.now();
     }
 
@@ -218,7 +218,7 @@
         for (TraitId part : added) {
             auto answer = vm.answers.find(part);
             if (answer != vm.answers.end())
-                vm.quarantine->onPromptAnswered(time_.now(), part, answer->second);
+                vm.quarantine->onAnswered(time_.now(), part, answer->second);
         }
     }
 
@@ -351,7 +351,7 @@
             for (TraitId part : done.parts) {
                 vm.answers[part] = time_.now();
                 if (vm.watched.contains(part))
-                    vm.quarantine->onPromptAnswered(time_.now(), part, time_.now());
+                    vm.quarantine->onAnswered(time_.now(), part, time_.now());
             }
         });
     }
@@ -376,7 +376,7 @@
                 onVm(vm.first, vm.second, [this, vm, prompts, id, incarnation] {
                     EndpointCrash report{id, incarnation, time_.now(), {}};
                     for (const Running& prompt : prompts)
-                        report.prompts.push_back({prompt.parts, prompt.sentAt});
+                        report.requests.push_back({prompt.parts, prompt.sentAt});
                     vms_[vm.first].quarantine->onCrash(time_.now(), report, true);
                     for (const Running& prompt : prompts) {
                         if (prompt.attempt < 2)
--- a/ragwortwinch/quarantine/quarantine_news.cc
+++ b/ragwortwinch/quarantine/quarantine_news.cc
@@ -37,9 +37,9 @@
 Json crashToJson(const EndpointCrash& crash, Instant now)
 {
     Json prompts = Json::array();
-    for (const CrashedPrompt& prompt : crash.prompts) {
+    for (const CrashedRequest& prompt : crash.requests) {
         Json parts = Json::array();
-        for (TraitId part : prompt.parts)
+        for (TraitId part : prompt.traits)
             parts.push_back(partIdText(part));
         prompts.push_back({{"sent_ms_ago", (now - prompt.sentAt).count()}, {"parts", std::move(parts)}});
     }
@@ -54,11 +54,11 @@
     crash.incarnation = object.at("incarnation").get<std::int64_t>();
     crash.lostAt = now - readMillis(object.at("lost_ms_ago"));
     for (const Json& item : bounded(object.at("prompts"))) {
-        CrashedPrompt prompt;
+        CrashedRequest prompt;
         prompt.sentAt = now - readMillis(item.at("sent_ms_ago"));
         for (const Json& part : bounded(item.at("parts")))
-            prompt.parts.push_back(readPart(part.get<std::string>()));
-        crash.prompts.push_back(std::move(prompt));
+            prompt.traits.push_back(readPart(part.get<std::string>()));
+        crash.requests.push_back(std::move(prompt));
     }
     return crash;
 }
--- a/ragwortwinch/quarantine/prompt_quarantine.cc
+++ b/ragwortwinch/quarantine/request_quarantine.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/quarantine/prompt_quarantine.h"
+#include "ragwortwinch/quarantine/request_quarantine.h"
 
 #include "ragwortwinch/base/json.h"
 #include "ragwortwinch/base/log_event.h"
@@ -27,13 +27,13 @@
 
 } // namespace
 
-PromptQuarantine::PromptQuarantine(std::string self, OpIds& ids)
+RequestQuarantine::RequestQuarantine(std::string self, OpIds& ids)
     : self_(std::move(self))
     , ids_(ids)
 {
 }
 
-void PromptQuarantine::onCrash(Instant now, const EndpointCrash& crash, bool isConfirmed)
+void RequestQuarantine::onCrash(Instant now, const EndpointCrash& crash, bool isConfirmed)
 {
     if (isConfirmed) {
         addOwnCrash(crash);
@@ -45,13 +45,13 @@
     confirmCrashes(now);
 }
 
-void PromptQuarantine::onEndpoints(Instant now, std::set<std::pair<std::string, std::int64_t>> registered)
+void RequestQuarantine::onEndpoints(Instant now, std::set<std::pair<std::string, std::int64_t>> registered)
 {
     registered_ = std::move(registered);
     confirmCrashes(now);
 }
 
-void PromptQuarantine::confirmCrashes(Instant now)
+void RequestQuarantine::confirmCrashes(Instant now)
 {
     std::vector<UnconfirmedCrash> left;
     for (UnconfirmedCrash& entry : unconfirmed_) {
@@ -63,15 +63,15 @@
     unconfirmed_ = std::move(left);
 }
 
-void PromptQuarantine::addOwnCrash(const EndpointCrash& crash)
+void RequestQuarantine::addOwnCrash(const EndpointCrash& crash)
 {
     auto [entry, isNew] = ownCrashes_.try_emplace({crash.endpoint, crash.incarnation}, crash);
     EndpointCrash& known = entry->second;
     if (!isNew) {
         known.lostAt = std::min(known.lostAt, crash.lostAt);
-        std::size_t room = maxNewsItems - std::min(maxNewsItems, known.prompts.size());
-        known.prompts.insert(known.prompts.end(), crash.prompts.begin(),
-            crash.prompts.begin() + static_cast<std::ptrdiff_t>(std::min(room, crash.prompts.size())));
+        std::size_t room = maxNewsItems - std::min(maxNewsItems, known.requests.size());
+        known.requests.insert(known.requests.end(), crash.requests.begin(),
+            crash.requests.begin() + static_cast<std::ptrdiff_t>(std::min(room, crash.requests.size())));
     }
     evidence_.onCrash(self_, known);
     news_.crashes.push_back(known);
@@ -82,17 +82,17 @@
     LogEvent("endpoint.crashed", Severity::Warning)
         .with("endpoint", crash.endpoint)
         .with("incarnation", crash.incarnation)
-        .with("prompts", crash.prompts.size())
+        .with("prompts", crash.requests.size())
         .with("known_crashes", evidence_.crashCount());
 }
 
-void PromptQuarantine::onPromptAnswered(Instant now, TraitId part, Instant at)
+void RequestQuarantine::onAnswered(Instant now, TraitId part, Instant at)
 {
     Instant known = evidence_.answeredAt(part);
     bool isNews = known == Instant::min() || (suspectedParts_.contains(part) && at > known);
     if (!isNews)
         return;
-    evidence_.onPromptAnswered(part, at);
+    evidence_.onAnswered(part, at);
     news_.answeredAt[part] = at;
     isEvidenceChanged_ = true;
     auto entry = entries_.find(part);
@@ -100,12 +100,12 @@
         release(now, part, Announcement::ToPeers, "answered");
 }
 
-void PromptQuarantine::onNews(Instant now, const std::string& peer, const QuarantineNews& news)
+void RequestQuarantine::onNews(Instant now, const std::string& peer, const QuarantineNews& news)
 {
     for (const EndpointCrash& crash : news.crashes)
         evidence_.onCrash(peer, crash);
     for (const auto& [part, at] : news.answeredAt) {
-        evidence_.onPromptAnswered(part, at);
+        evidence_.onAnswered(part, at);
         auto entry = entries_.find(part);
         if (entry != entries_.end() && at >= entry->second.since)
             release(now, part, Announcement::None, "answered");
@@ -119,7 +119,7 @@
     isEvidenceChanged_ = true;
 }
 
-void PromptQuarantine::onStoreList(Instant now, const std::vector<StoreEntry>& entries)
+void RequestQuarantine::onStoreList(Instant now, const std::vector<StoreEntry>& entries)
 {
     std::set<TraitId> stored;
     for (const StoreEntry& entry : entries) {
@@ -136,7 +136,7 @@
         release(now, part, Announcement::None, "removed from the store");
 }
 
-void PromptQuarantine::onStoreEntry(Instant now, const std::string& key)
+void RequestQuarantine::onStoreEntry(Instant now, const std::string& key)
 {
     std::optional<TraitId> part = partOfKey(key);
     if (!part) {
@@ -152,7 +152,7 @@
         pendingWrites_.erase(write);
 }
 
-void PromptQuarantine::onStoreRemoval(Instant now, const std::string& key)
+void RequestQuarantine::onStoreRemoval(Instant now, const std::string& key)
 {
     std::optional<TraitId> part = partOfKey(key);
     if (!part)
@@ -165,7 +165,7 @@
     release(now, *part, Announcement::None, "removed from the store");
 }
 
-void PromptQuarantine::add(Instant now, TraitId part, Instant until, bool isOwnDecision)
+void RequestQuarantine::add(Instant now, TraitId part, Instant until, bool isOwnDecision)
 {
     auto found = entries_.find(part);
     if (found != entries_.end()) {
@@ -189,7 +189,7 @@
         .with("for_ms", (until - now).count());
 }
 
-void PromptQuarantine::release(Instant now, TraitId part, Announcement announcement, const char* reason)
+void RequestQuarantine::release(Instant now, TraitId part, Announcement announcement, const char* reason)
 {
     bool isStored = entries_[part].isStored;
     entries_.erase(part);
@@ -206,7 +206,7 @@
     LogEvent("quarantine.part_released").with("part", partIdText(part)).with("reason", reason);
 }
 
-void PromptQuarantine::decide(Instant now, const std::set<std::string>& livePeers)
+void RequestQuarantine::decide(Instant now, const std::set<std::string>& livePeers)
 {
     CrashCauses causes = evidence_.causes();
     for (TraitId part : causes.harmful) {
@@ -235,7 +235,7 @@
     }
 }
 
-StoreOps PromptQuarantine::tick(Instant now, const std::set<std::string>& livePeers)
+StoreOps RequestQuarantine::tick(Instant now, const std::set<std::string>& livePeers)
 {
     std::vector<TraitId> ended;
     for (const auto& [part, entry] : entries_) {
@@ -256,7 +256,7 @@
     return writeNext(now, livePeers);
 }
 
-StoreOps PromptQuarantine::writeNext(Instant now, const std::set<std::string>& livePeers)
+StoreOps RequestQuarantine::writeNext(Instant now, const std::set<std::string>& livePeers)
 {
     if (pendingOp_ != 0 || now < nextWrite_)
         return {};
@@ -277,7 +277,7 @@
     return {};
 }
 
-StoreOps PromptQuarantine::onAnswer(Instant now, const StoreAnswer& answer)
+StoreOps RequestQuarantine::onAnswer(Instant now, const StoreAnswer& answer)
 {
     if (pendingOp_ == 0 || answer.opId != pendingOp_)
         return {};
@@ -304,7 +304,7 @@
     return {};
 }
 
-std::optional<QuarantineNews> PromptQuarantine::takeNews()
+std::optional<QuarantineNews> RequestQuarantine::takeNews()
 {
     if (news_.isEmpty())
         return std::nullopt;
@@ -313,7 +313,7 @@
     return news;
 }
 
-QuarantineNews PromptQuarantine::allNews() const
+QuarantineNews RequestQuarantine::allNews() const
 {
     QuarantineNews news;
     for (const auto& [key, crash] : ownCrashes_)
@@ -327,9 +327,9 @@
     return news;
 }
 
-bool PromptQuarantine::takeChanged() { return std::exchange(isChanged_, false); }
+bool RequestQuarantine::takeChanged() { return std::exchange(isChanged_, false); }
 
-std::map<TraitId, Instant> PromptQuarantine::quarantinedUntil() const
+std::map<TraitId, Instant> RequestQuarantine::quarantinedUntil() const
 {
     std::map<TraitId, Instant> result;
     for (const auto& [part, entry] : entries_)
@@ -337,7 +337,7 @@
     return result;
 }
 
-void PromptQuarantine::onStoreRestored(Instant now)
+void RequestQuarantine::onStoreRestored(Instant now)
 {
     pendingOp_ = 0;
     for (auto& [part, entry] : entries_) {
--- a/ragwortwinch/quarantine/prompt_quarantine.h
+++ b/ragwortwinch/quarantine/request_quarantine.h
@@ -1,10 +1,10 @@
-// Keeps prompt parts that crash endpoints from reaching any, on all VMs: combines what this VM and its peers
-// see, decides which parts are harmful, and keeps the decisions in the store, where a VM that starts or was
-// cut off finds them.
+// Keeps requests that crash endpoints from reaching any, on all VMs: combines what this VM and its peers see,
+// decides which traits of requests (called parts here: prompt parts, or whole requests) are harmful, and
+// keeps the decisions in the store, where a VM that starts or was cut off finds them.
 //
-//     PromptQuarantine quarantine("cnx-1", ids);
+//     RequestQuarantine quarantine("cnx-1", ids);
 //     quarantine.onCrash(now, crash, isConfirmed);
-//     quarantine.onPromptAnswered(now, part, answeredAt);
+//     quarantine.onAnswered(now, part, answeredAt);
 //     run(quarantine.tick(now, livePeers));  quarantine.onAnswer(now, answer);
 //     if (std::optional<QuarantineNews> news = quarantine.takeNews()) sendToAllPeers(*news);
 //     if (quarantine.takeChanged()) use(quarantine.quarantinedUntil(), quarantine.suspectedParts());
@@ -31,7 +31,7 @@
 // The key of a part is this prefix and the part's id.
 inline constexpr const char* quarantineKeyPrefix = "quarantine/";
 
-class PromptQuarantine {
+class RequestQuarantine {
 public:
     // A part may be harmful to one version of an engine only, so it is tried again after this time. The
     // longest time that the store keeps a key without renewal.
@@ -47,7 +47,7 @@
     static constexpr Millis writeDelay{700};
 
     // `ids` must outlive the object.
-    PromptQuarantine(std::string self, OpIds& ids);
+    RequestQuarantine(std::string self, OpIds& ids);
 
     // This VM lost its connections to an endpoint. `isConfirmed` if the endpoint refuses new ones, so that
     // the network can't be the cause.
@@ -55,7 +55,7 @@
     // The ids and incarnations of all registered endpoints.
     void onEndpoints(Instant now, std::set<std::pair<std::string, std::int64_t>> registered);
     // This VM received the whole answer to a prompt with this part.
-    void onPromptAnswered(Instant now, TraitId part, Instant at);
+    void onAnswered(Instant now, TraitId part, Instant at);
     void onNews(Instant now, const std::string& peer, const QuarantineNews& news);
     // All keys under `quarantineKeyPrefix`.
     void onStoreList(Instant now, const std::vector<StoreEntry>& entries);
--- a/ragwortwinch/quarantine/prompt_quarantine_test.cc
+++ b/ragwortwinch/quarantine/request_quarantine_test.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/quarantine/prompt_quarantine.h"
+#include "ragwortwinch/quarantine/request_quarantine.h"
 
 #include <doctest/doctest.h>
 #include <string>
@@ -33,7 +33,7 @@
             quarantine.onCrash(at(number * 210), crash(number, number * 210), true);
     }
     OpIds ids;
-    PromptQuarantine quarantine;
+    RequestQuarantine quarantine;
 };
 
 TEST_CASE("a harmful part is put into quarantine, told to peers and written to the store once")
@@ -46,7 +46,7 @@
     CHECK(ops[0].verb == StoreVerb::Put);
     CHECK(ops[0].key == "quarantine/bad");
     CHECK(ops[0].expectedRevision == 0);
-    CHECK(ops[0].ttl == PromptQuarantine::duration);
+    CHECK(ops[0].ttl == RequestQuarantine::duration);
     std::optional<QuarantineNews> news = fixture.quarantine.takeNews();
     REQUIRE(news);
     CHECK(news->crashes.size() == 3);
@@ -72,7 +72,7 @@
     Fixture fixture;
     fixture.quarantine.tick(at(500), {});
     OpIds ids;
-    PromptQuarantine other("b", ids);
+    RequestQuarantine other("b", ids);
     // The clock of the other VM has another origin.
     std::string bytes = encodeQuarantineNews(fixture.quarantine.allNews(), at(600));
     std::optional<QuarantineNews> news = decodeQuarantineNews(bytes, at(70000));
@@ -80,7 +80,7 @@
     CHECK(news->crashes[0].lostAt == at(70000 - 600));
     other.onNews(at(70000), "a", *news);
     CHECK(other.quarantinedUntil().contains(harmful));
-    PromptQuarantine third("c", ids);
+    RequestQuarantine third("c", ids);
     third.onStoreList(at(0), {{"quarantine/bad", "{}", 7}, {"quarantine/x/y", "{}", 8}});
     CHECK(third.quarantinedUntil().size() == 1);
     CHECK(third.tick(at(5000), {}).empty());
@@ -92,7 +92,7 @@
     StoreOps ops = fixture.quarantine.tick(at(500), {});
     fixture.quarantine.onAnswer(at(510), answerTo(ops, StoreStatus::Ok));
     fixture.quarantine.takeNews();
-    fixture.quarantine.onPromptAnswered(at(600), harmful, at(600));
+    fixture.quarantine.onAnswered(at(600), harmful, at(600));
     CHECK(fixture.quarantine.quarantinedUntil().empty());
     std::optional<QuarantineNews> news = fixture.quarantine.takeNews();
     REQUIRE(news);
@@ -114,17 +114,17 @@
     CHECK(fixture.quarantine.quarantinedUntil().empty());
     Fixture second;
     second.quarantine.tick(at(500), {});
-    second.quarantine.tick(at(500) + PromptQuarantine::duration, {});
+    second.quarantine.tick(at(500) + RequestQuarantine::duration, {});
     CHECK(second.quarantine.quarantinedUntil().empty());
 }
 
 TEST_CASE("a part beyond the limit is left in the store")
 {
     OpIds ids;
-    PromptQuarantine quarantine("a", ids);
-    for (std::size_t part = 0; part <= PromptQuarantine::maxParts; ++part)
+    RequestQuarantine quarantine("a", ids);
+    for (std::size_t part = 0; part <= RequestQuarantine::maxParts; ++part)
         quarantine.onStoreEntry(at(0), quarantineKeyPrefix + partIdText(part));
-    CHECK(quarantine.quarantinedUntil().size() == PromptQuarantine::maxParts);
+    CHECK(quarantine.quarantinedUntil().size() == RequestQuarantine::maxParts);
     CHECK(quarantine.tick(at(5000), {}).empty());
 }
 
@@ -141,7 +141,7 @@
 TEST_CASE("a lost connection counts as a crash only when the endpoint is gone")
 {
     OpIds ids;
-    PromptQuarantine quarantine("a", ids);
+    RequestQuarantine quarantine("a", ids);
     quarantine.onEndpoints(at(0), {{"e0", 1}, {"e1", 1}, {"e2", 1}, {"e3", 1}});
     for (int number = 0; number < 4; ++number)
         quarantine.onCrash(at(number * 210), crash(number, number * 210), false);
@@ -156,7 +156,7 @@
 TEST_CASE("a part is released when another one turns out to explain its crashes")
 {
     OpIds ids;
-    PromptQuarantine quarantine("a", ids);
+    RequestQuarantine quarantine("a", ids);
     constexpr TraitId innocent = 0xc0;
     for (int number = 0; number < 3; ++number)
         quarantine.onCrash(at(number * 210), crash(number, number * 210, innocent), true);
