--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -30,9 +30,10 @@
 constexpr int endsOfMachine = 3;
 constexpr int endingMachines = 2;
 
-const char* configuration = R"({"version":3,"routes":[{"name":"book","host":"shop.example","prefix":"/book/",
-    "kind":"unsafe","timeout_ms":2000,"target_latency_ms":200,"priority":0,"service":"desk","attempts":1,
-    "public":false}],"services":[{"name":"desk","health_path":"/health","connection_limit":96}],
+const char* configuration
+    = R"({"version":3,"routes":[{"name":"verdict","host":"shop.example","prefix":"/verdict/",
+    "kind":"streaming","timeout_ms":2000,"target_latency_ms":200,"target_gap_ms":150,"priority":0,
+    "service":"model","attempts":1,"resumable":false,"public":false}],"services":[{"name":"model","health_path":"/health","connection_limit":180}],
     "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
     "idle_timeout_ms":15000},"tenants":[{"name":"riders","api_keys":["k1"]}]})";
 
@@ -46,7 +47,7 @@
         deployment_.platform.put("op/config", configuration);
         for (int number = 0; number < workerCount; ++number) {
             bool isInTrouble = Deployment::hasTrouble() && number == 0;
-            deployment_.addWorker("desk", 6,
+            deployment_.addWorker("model", 16,
                 [this, isInTrouble](Socket& socket, const HttpMessage& request, const std::string& id) {
                     return answer(socket, request, id, isInTrouble);
                 });
@@ -77,14 +78,16 @@
         deployment_.record.add("worker %s runs request=%s", id.c_str(), requestId.c_str());
         std::this_thread::sleep_for(Millis(workMillis));
         std::string head = "HTTP/1.1 200 OK\r\nRagwortwinch-Request-Id: " + requestId
-            + "\r\nRagwortwinch-Server-Signature: " + id + "." + requestId + "\r\n";
+            + "\r\nRagwortwinch-Server-Signature: " + id + "." + requestId
+            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string event = "13\r\nid: 1\ndata: sound\n\n\r\n";
         // One such answer at a time, so that it has the link for itself.
         bool isSpoilt = isInTrouble && ++answers_ % troubledAnswer == 0 && !isSendingBytes_.exchange(true);
         if (!isSpoilt)
-            return socket.send(head + "Content-Length: 800\r\n\r\n" + std::string(800, 'b'));
+            return socket.send(head + event + "0\r\n\r\n");
         deployment_.record.add(
             "worker %s sends bytes without end to request=%s", id.c_str(), requestId.c_str());
-        socket.send(head + "Transfer-Encoding: chunked\r\n\r\n320\r\n" + std::string(800, 'b') + "\r\n1;");
+        socket.send(head + event + "1;");
         SteadyClock::time_point start = SteadyClock::now();
         std::string bytes(65536, 'x');
         double sent = 0;
@@ -112,7 +115,7 @@
                 std::this_thread::sleep_for(Millis(100));
                 continue;
             }
-            socket.send("POST /book/1 HTTP/1.1\r\nHost: shop.example\r\nRagwortwinch-Request-Id: " + id
+            socket.send("POST /verdict/1 HTTP/1.1\r\nHost: shop.example\r\nRagwortwinch-Request-Id: " + id
                 + "\r\nRagwortwinch-Deadline-Milliseconds: " + std::to_string(timeLimitMillis)
                 + "\r\nAuthorization: Bearer k1\r\nContent-Length: 4\r\n\r\nbody");
             HttpMessage reply = socket.readMessage(timeLimitMillis + 500, true);
--- a/review/stand_in/sockets.h
+++ b/review/stand_in/sockets.h
@@ -6,6 +6,7 @@
 #include <cctype>
 #include <cerrno>
 #include <chrono>
+#include <climits>
 #include <cstdint>
 #include <cstdlib>
 #include <netinet/in.h>
@@ -161,9 +162,10 @@
     }
 
     // Reads one request or answer with its body. `isAnswer`: without a length or chunks, the body ends with
-    // the connection.
-    HttpMessage readMessage(int millis, bool isAnswer = false)
+    // the connection. Gives up after `millis`, or after `gapMillis` without a byte.
+    HttpMessage readMessage(int millis, bool isAnswer = false, int gapMillis = INT_MAX)
     {
+        gapMillis_ = gapMillis;
         HttpMessage message;
         SteadyClock::time_point until = SteadyClock::now() + Millis(millis);
         std::size_t headEnd = std::string::npos;
@@ -220,7 +222,8 @@
     {
         auto left = std::chrono::duration_cast<Millis>(until - SteadyClock::now()).count();
         pollfd ready{descriptor_, POLLIN, 0};
-        if (left < 0 || poll(&ready, 1, static_cast<int>(left) + 1) <= 0) {
+        int wait = static_cast<int>(std::min<std::int64_t>(left + 1, gapMillis_));
+        if (left < 0 || poll(&ready, 1, wait) <= 0) {
             end = ReadEnd::TimedOut;
             return false;
         }
@@ -236,6 +239,7 @@
 
     int descriptor_;
     std::string received_;
+    int gapMillis_ = INT_MAX;
 };
 
 // Listens on a loopback port; 0 stands for any free one.
