--- /dev/null
+++ b/ragwortwinch/forward/planned_stop_test.cc
@@ -0,0 +1,121 @@
+// Requests on connections that a ForwardServer closes: around a planned stop, and while the server is behind.
+#include "testing/forward/forward_fixture.h"
+#include "testing/forward/wait_for.h"
+
+#include <atomic>
+#include <chrono>
+#include <doctest/doctest.h>
+
+namespace ragwortwinch {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::answerTo;
+using testing::chunkOf;
+using testing::FakeEndpoint;
+using testing::fieldOf;
+using testing::ForwardFixture;
+using testing::RawSocket;
+using testing::waitFor;
+
+constexpr const char* lastChunk = "0\r\n\r\n";
+
+// Answers requests to /single/ with one event and ends that stream when told to; answers others at once.
+class StreamingEndpoint {
+public:
+    const FakeEndpoint& endpoint() const { return endpoint_; }
+    void endStream() { mayEnd_.store(true); }
+
+private:
+    bool answer(RawSocket& socket, const std::string& request)
+    {
+        if (request.find(" /single/") == std::string::npos) {
+            socket.send(answerTo(request, "fine"));
+            return true;
+        }
+        socket.send("HTTP/1.1 200 OK\r\nId: " + fieldOf(request, "Id")
+            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + chunkOf("id: 1\ndata: a\n\n"));
+        waitFor([&] { return mayEnd_.load(); }, 2000);
+        socket.send(lastChunk);
+        return true;
+    }
+
+    std::atomic<bool> mayEnd_{false};
+    FakeEndpoint endpoint_{
+        [this](RawSocket& socket, const std::string& request) { return answer(socket, request); }};
+};
+
+// Holds up the forwarding thread of a server twice without a pause between, so that an event which comes up
+// during the first time is handled after the second.
+class TwoStalls {
+public:
+    // The first one begins.
+    explicit TwoStalls(const ForwardFixture& fixture)
+        : first_(fixture.connect())
+        , second_(fixture.connect())
+    {
+        std::string request = ForwardFixture::request("/open/a", "stall-2", "", "Stall: 400\r\n");
+        second_.send(request.substr(0, 20));
+        rest_ = request.substr(20);
+        std::this_thread::sleep_for(milliseconds(50));
+        first_.send(ForwardFixture::request("/open/a", "stall-1", "", "Stall: 300\r\n"));
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+
+    // The second one follows the first. To be called while the first one lasts.
+    void addSecond() { second_.send(rest_); }
+
+private:
+    RawSocket first_;
+    RawSocket second_;
+    std::string rest_;
+};
+
+TEST_SUITE("planned_stop")
+{
+    TEST_CASE("a stopping server answers a request that it has read behind a stream from before the stop")
+    {
+        ForwardFixture fixture;
+        fixture.setConfig(ForwardFixture::sampleConfig());
+        StreamingEndpoint streaming;
+        fixture.setEndpoints({&streaming.endpoint()});
+        RawSocket caller = fixture.connect();
+        caller.send(ForwardFixture::request("/single/a", "r1"));
+        REQUIRE(caller.readUntil("data: a\n\n").ends_with("data: a\n\n"));
+        caller.send(ForwardFixture::request("/once/a", "r2"));
+        fixture.server().beginDrain(SystemClock().now() + Millis(7000));
+        streaming.endStream();
+        CHECK(caller.readUntil(lastChunk).ends_with(lastChunk));
+        std::string answer = caller.readMessage();
+        CHECK(answer.ends_with("fine"));
+        CHECK(fieldOf(answer, "Connection") == "close");
+        bool hasClosed = false;
+        CHECK(caller.readToEnd(hasClosed, 1000).empty());
+        CHECK(hasClosed);
+    }
+
+    TEST_CASE("a stopping server that is behind answers a request that follows a stream from before the stop")
+    {
+        ForwardFixture fixture;
+        fixture.setConfig(ForwardFixture::sampleConfig());
+        StreamingEndpoint streaming;
+        fixture.setEndpoints({&streaming.endpoint()});
+        RawSocket caller = fixture.connect();
+        caller.send(ForwardFixture::request("/single/a", "r1"));
+        REQUIRE(caller.readUntil("data: a\n\n").ends_with("data: a\n\n"));
+        TwoStalls stalls(fixture);
+        fixture.server().beginDrain(SystemClock().now() + Millis(7000));
+        streaming.endStream();
+        std::this_thread::sleep_for(milliseconds(50));
+        stalls.addSecond();
+        REQUIRE(caller.readUntil(lastChunk).ends_with(lastChunk));
+        caller.send(ForwardFixture::request("/once/a", "r2"));
+        std::string answer = caller.readMessage();
+        CHECK(answer.ends_with("fine"));
+        CHECK(fieldOf(answer, "Connection") == "close");
+    }
+}
+
+} // namespace
+} // namespace ragwortwinch
--- a/testing/forward/raw_socket.h
+++ b/testing/forward/raw_socket.h
@@ -30,6 +30,7 @@
         : descriptor_(std::exchange(other.descriptor_, -1))
         , received_(std::move(other.received_))
         , hasEnded_(other.hasEnded_)
+        , wasReset_(other.wasReset_)
     {
     }
     RawSocket& operator=(RawSocket&& other) noexcept
@@ -38,6 +39,7 @@
         descriptor_ = std::exchange(other.descriptor_, -1);
         received_ = std::move(other.received_);
         hasEnded_ = other.hasEnded_;
+        wasReset_ = other.wasReset_;
         return *this;
     }
     ~RawSocket() { close(); }
@@ -72,6 +74,9 @@
         close();
     }
 
+    // Whether the last read found the connection reset.
+    bool wasReset() const { return wasReset_; }
+
     // Waits until something can be read, which includes the end of the connection. Returns false on a
     // time-out.
     bool waitForInput(int millis)
@@ -109,6 +114,17 @@
         return std::exchange(received_, {});
     }
 
+    // Reads `size` bytes; returns fewer on a time-out or at the end of the connection.
+    std::string readBytes(std::size_t size, int millis = 3000)
+    {
+        std::chrono::steady_clock::time_point end
+            = std::chrono::steady_clock::now() + std::chrono::milliseconds(millis);
+        while (received_.size() < size && readMore(end)) { }
+        std::string bytes = received_.substr(0, size);
+        received_.erase(0, bytes.size());
+        return bytes;
+    }
+
     // Reads one request or answer; the body is read only if there is a Content-Length.
     std::string readMessage(int millis = 3000)
     {
@@ -116,12 +132,7 @@
         std::size_t field = head.find("Content-Length: ");
         std::size_t length
             = field == std::string::npos ? 0 : static_cast<std::size_t>(std::stoul(head.substr(field + 16)));
-        std::chrono::steady_clock::time_point end
-            = std::chrono::steady_clock::now() + std::chrono::milliseconds(millis);
-        while (received_.size() < length && readMore(end)) { }
-        std::string message = head + received_.substr(0, length);
-        received_.erase(0, std::min(length, received_.size()));
-        return message;
+        return head + readBytes(length, millis);
     }
 
 private:
@@ -137,6 +148,7 @@
         ssize_t size = recv(descriptor_, buffer, sizeof(buffer), 0);
         if (size <= 0) {
             hasEnded_ = size == 0 || (errno != EINTR && errno != EAGAIN);
+            wasReset_ = size < 0 && errno == ECONNRESET;
             return false;
         }
         received_.append(buffer, static_cast<std::size_t>(size));
@@ -147,6 +159,7 @@
     std::string received_;
     // The peer has closed or reset the connection.
     bool hasEnded_ = false;
+    bool wasReset_ = false;
 };
 
 } // namespace ragwortwinch::testing
