Log why a caller's connection ended and what was not answered

Reports of lost requests could not be traced: nothing said why a connection of a caller had ended. Each end is now counted by reason and by unanswered input, and logged if a request may have been lost (callers.unanswered, callers.write_failed). A process that ends at its stop bound reports the connections that are left, and node.stopped no longer shows a busy count that is up to 100 ms old when all are closed.

--- a/ragwortwinch/forward/caller_session.cc
+++ b/ragwortwinch/forward/caller_session.cc
@@ -6,7 +6,6 @@
 #include "ragwortwinch/forward/internal/socket_options.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
@@ -26,9 +25,6 @@
 using internal::statusUnavailable;
 // Enough for the largest allowed body over a slow link.
 constexpr Millis bodyTimeout{10000};
-// How long a connection is kept open after its last reply, to discard what the caller still sends.
-constexpr Millis lingerTime{300};
-constexpr std::size_t lingerBufferBytes = 4096;
 // Limit on what is read behind a request while it runs: enough for a small request, and little for each of
 // many connections.
 constexpr std::size_t maxReadAheadBytes = 8192;
@@ -76,7 +72,7 @@
         readRequest();
         return;
     }
-    armTimer(limits().idleTimeout, [this] { close(); });
+    armTimer(limits().idleTimeout, [this] { close(ConnectionEnd::IdleTimeout); });
     watch();
 }
 
@@ -98,7 +94,7 @@
         return;
     if (state_ == State::Idle) {
         if (error)
-            close();
+            close(ConnectionEnd::CallerGone);
         else
             readRequest();
         return;
@@ -128,12 +124,6 @@
     return poll(&state, 1, 0) > 0;
 }
 
-bool CallerSession::hasUnreadBytes()
-{
-    char byte = 0;
-    return recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
 bool CallerSession::endIfCallerGone()
 {
     if (state_ != State::Closed && !readAhead())
@@ -142,12 +132,12 @@
     return true;
 }
 
-void CallerSession::onCallerGone()
+void CallerSession::onCallerGone(ConnectionEnd end)
 {
     if (exchange_)
         exchange_->cancel();
     exchange_.reset();
-    close();
+    close(end);
 }
 
 void CallerSession::readRequest()
@@ -196,7 +186,7 @@
             rejectInput(statusBadRequest, ErrorKind::BadRequest,
                 "the request can't be understood: " + error.message());
         else
-            close();
+            close(ConnectionEnd::CallerGone);
         return;
     }
     std::string problem = inputProblem();
@@ -246,7 +236,7 @@
         if (isMalformed)
             rejectInput(statusBadRequest, ErrorKind::BadRequest, "the body can't be understood");
         else
-            close();
+            close(ConnectionEnd::CallerGone);
         return;
     }
     run();
@@ -255,6 +245,7 @@
 void CallerSession::run()
 {
     state_ = State::Running;
+    isReplyComplete_ = false;
     armTimer(Millis(0), nullptr);
     http::request<http::string_body> message = parser_->release();
     parser_.reset();
@@ -322,12 +313,6 @@
     write(std::move(bytes), [self = shared_from_this()] { self->onReplied(); });
 }
 
-void CallerSession::abort()
-{
-    internal::resetSocket(socket_);
-    close();
-}
-
 void CallerSession::write(std::string bytes, std::function<void()> onWritten)
 {
     outgoing_ = std::move(bytes);
@@ -338,15 +323,28 @@
             if (self->state_ == State::Closed)
                 return;
             if (error) {
-                self->onCallerGone();
+                self->onWriteError(error);
                 return;
             }
             onWritten();
         });
 }
 
+void CallerSession::onWriteError(const ErrorCode& error)
+{
+    bool hasCallerLeft
+        = error == boost::asio::error::connection_reset || error == boost::asio::error::broken_pipe;
+    if (!hasCallerLeft && context_.log.shouldLogFailure(context_.clock.now()))
+        LogEvent("callers.write_failed", Severity::Warning)
+            .with("request", request_ ? request_->caller.id : std::string())
+            .with("problem", error.message())
+            .with("bytes", outgoing_.size());
+    onCallerGone(hasCallerLeft ? ConnectionEnd::CallerGone : ConnectionEnd::WriteFailed);
+}
+
 void CallerSession::onReplied()
 {
+    isReplyComplete_ = true;
     releaseBuffered();
     if (mustClose_ || owner_.isDraining()) {
         linger();
@@ -363,6 +361,7 @@
     context_.metrics.onRequestEnd("none", RequestOutcome::Rejected, Millis(0));
     state_ = State::Replying;
     mustClose_ = true;
+    isInputRejected_ = true;
     armTimer(Millis(0), nullptr);
     std::string head = internal::localReplyHead(
         status, status == statusUnavailable ? context_.options.retryAfter : Millis(0));
@@ -370,38 +369,6 @@
     sendWhole(std::move(head), std::move(body), false);
 }
 
-// Shuts down sending and discards what the caller still sends: closing with unread bytes would reset the
-// connection before the caller has the reply.
-void CallerSession::linger()
-{
-    state_ = State::Closing;
-    ErrorCode ignored;
-    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
-    armTimer(lingerTime, [this] { close(); });
-    std::shared_ptr<std::array<char, lingerBufferBytes>> discarded
-        = std::make_shared<std::array<char, lingerBufferBytes>>();
-    std::shared_ptr<std::function<void()>> discardMore = std::make_shared<std::function<void()>>();
-    // Weak, so that the function doesn't own itself; the pending read owns it.
-    std::weak_ptr<std::function<void()>> weak = discardMore;
-    *discardMore = [self = shared_from_this(), discarded, weak] {
-        self->socket_.async_read_some(boost::asio::buffer(*discarded),
-            [self, discarded, discardMore = weak.lock()](const ErrorCode& error, std::size_t) {
-                if (error)
-                    self->close();
-                else if (discardMore)
-                    (*discardMore)();
-            });
-    };
-    (*discardMore)();
-}
-
-void CallerSession::closeIfIdle(Millis minIdle)
-{
-    bool isIdleLongEnough = state_ == State::Idle && context_.clock.now() - idleSince_ >= minIdle;
-    if (isIdleLongEnough && !hasUnreadBytes())
-        close();
-}
-
 void CallerSession::armTimer(Millis timeout, std::function<void()> onExpired)
 {
     std::uint64_t generation = ++timerGeneration_;
@@ -417,24 +384,4 @@
         });
 }
 
-void CallerSession::close()
-{
-    if (state_ == State::Closed)
-        return;
-    std::shared_ptr<CallerSession> self = shared_from_this();
-    state_ = State::Closed;
-    ++timerGeneration_;
-    timer_.cancel();
-    ErrorCode ignored;
-    socket_.close(ignored);
-    releaseBuffered();
-    owner_.onSessionEnd(self);
-}
-
-void CallerSession::releaseBuffered()
-{
-    owner_.release(bufferedBytes_);
-    bufferedBytes_ = 0;
-}
-
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/caller_session.h
+++ b/ragwortwinch/forward/caller_session.h
@@ -7,6 +7,7 @@
 // Confined to the forwarding thread.
 #pragma once
 
+#include "ragwortwinch/forward/connection_end.h"
 #include "ragwortwinch/forward/exchange.h"
 #include "ragwortwinch/forward/forward_context.h"
 #include "ragwortwinch/forward/reply_sink.h"
@@ -43,6 +44,8 @@
     // Closes the connection if it has waited for a request for at least `minIdle` and has no unread bytes.
     void closeIfIdle(Millis minIdle);
     bool isIdle() const { return state_ == State::Idle; }
+    // Reports a connection that ends with the process.
+    void onProcessEnd() { reportEnd(ConnectionEnd::ProcessEnd); }
 
 private:
     enum class State {
@@ -77,7 +80,8 @@
     void rejectInput(int status, ErrorKind kind, const std::string& message);
     std::string inputProblem() const;
     void run();
-    void onCallerGone();
+    void onCallerGone(ConnectionEnd end = ConnectionEnd::CallerGone);
+    void onWriteError(const ErrorCode& error);
     // Reads what the caller has sent behind the request, without waiting. Returns whether the connection has
     // ended.
     bool readAhead();
@@ -88,7 +92,10 @@
     void write(std::string bytes, std::function<void()> onWritten);
     void onReplied();
     void linger();
-    void close();
+    void close(ConnectionEnd end);
+    UnansweredInput unansweredInput();
+    // Counts the end of the connection, and logs it if a request was lost with it.
+    void reportEnd(ConnectionEnd end);
     void releaseBuffered();
 
     ForwardContext& context_;
@@ -108,6 +115,12 @@
     bool isWriting_ = false;
     bool mustClose_ = false;
     bool isChunked_ = false;
+    // The last request's reply has been written.
+    bool isReplyComplete_ = true;
+    // The last request was invalid or its body found no memory.
+    bool isInputRejected_ = false;
+    // Read behind the last request and dropped.
+    std::size_t droppedBytes_ = 0;
     std::size_t bufferedBytes_ = 0;
 };
 
--- a/ragwortwinch/forward/forward_metrics.cc
+++ b/ragwortwinch/forward/forward_metrics.cc
@@ -40,6 +40,8 @@
           "Requests refused because their time was over when they were read, by route"))
     , quarantined_(counter(registry, "ragwortwinch_quarantined_requests_total",
           "Requests refused for a prompt part that crashes endpoints, by route"))
+    , connectionEnds_(counter(registry, "ragwortwinch_caller_connection_ends_total",
+          "Ended connections of callers, by why and by what they had received without an answer"))
     , durations_(histogram(registry, "ragwortwinch_request_duration_milliseconds",
           "From the whole request to the answer's end"))
     , firstBytes_(histogram(registry, "ragwortwinch_first_byte_milliseconds",
@@ -75,6 +77,14 @@
     quarantined_.Add({{"route", route}}).Increment();
 }
 
+void ForwardMetrics::onConnectionEnd(ConnectionEnd end, UnansweredInput input)
+{
+    connectionEnds_
+        .Add({{"end", std::string(connectionEndNames.name(end))},
+            {"unanswered", std::string(unansweredInputNames.name(input))}})
+        .Increment();
+}
+
 void ForwardMetrics::onSendDropped(const std::string& service)
 {
     droppedSends_.Add({{"service", service}}).Increment();
--- a/ragwortwinch/forward/forward_metrics.h
+++ b/ragwortwinch/forward/forward_metrics.h
@@ -8,6 +8,7 @@
 
 #include "ragwortwinch/base/time.h"
 #include "ragwortwinch/forward/attempt.h"
+#include "ragwortwinch/forward/connection_end.h"
 #include "ragwortwinch/forward/request_outcome.h"
 
 #include <map>
@@ -38,6 +39,7 @@
     void setLag(Millis lag) { lag_.Set(static_cast<double>(lag.count())); }
     // A request was refused because its time was over when it was read.
     void onReadTooLate(const std::string& route);
+    void onConnectionEnd(ConnectionEnd end, UnansweredInput input);
     void setSessions(std::size_t count) { sessions_.Set(static_cast<double>(count)); }
     void setBufferedBytes(std::size_t bytes) { bufferedBytes_.Set(static_cast<double>(bytes)); }
 
@@ -49,6 +51,7 @@
     prometheus::Family<prometheus::Counter>& droppedSends_;
     prometheus::Family<prometheus::Counter>& readTooLate_;
     prometheus::Family<prometheus::Counter>& quarantined_;
+    prometheus::Family<prometheus::Counter>& connectionEnds_;
     prometheus::Family<prometheus::Histogram>& durations_;
     prometheus::Family<prometheus::Histogram>& firstBytes_;
     prometheus::Gauge& sessions_;
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
+#include <future>
 
 namespace ragwortwinch {
 
@@ -277,6 +278,17 @@
     });
 }
 
+void ForwardServer::reportProcessEnd(Millis wait)
+{
+    std::shared_ptr<std::promise<void>> done = std::make_shared<std::promise<void>>();
+    boost::asio::post(io_, [this, done] {
+        for (const std::shared_ptr<CallerSession>& session : sessions_)
+            session->onProcessEnd();
+        done->set_value();
+    });
+    done->get_future().wait_for(wait);
+}
+
 void ForwardServer::closeIdleSessions(Millis minIdle)
 {
     boost::asio::post(io_, [this, minIdle] {
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -77,6 +77,8 @@
     void closeListener();
     // Closes connections that have waited for a request for at least `minIdle` and have no unread bytes.
     void closeIdleSessions(Millis minIdle);
+    // Reports the connections that will end with the process; returns when that is done or `wait` is over.
+    void reportProcessEnd(Millis wait);
     // True once the listener is closed and the last connection has ended: no request can be read any more.
     bool isDrained() const { return isDrained_.load(); }
     // Number of connections with a request in progress or being closed; updated every 100 ms.
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -20,6 +20,8 @@
 // A stopping VM keeps a new connection open for this long, so that its first request can arrive. Covers a
 // round trip between regions.
 constexpr Millis firstRequestWait{250};
+// How long a process that ends waits for the report on the connections that are left.
+constexpr Millis endReportWait{100};
 // Peers are told the lag in these steps, so that address answers don't change with every millisecond.
 constexpr Millis lagStep{50};
 // For the readiness, directory and operators' ports.
@@ -286,9 +288,11 @@
     bool isFinished = forward_->isDrained() && duties_->isReleased() && flusher_.hasFlushed(usage_.totals());
     if (!isFinished && now < drainStart_ + settings_.stopBound)
         return;
+    if (!isFinished)
+        forward_->reportProcessEnd(endReportWait);
     LogEvent("node.stopped")
         .with("node", settings_.node)
-        .with("busy_connections", forward_->sessionsWithRequests())
+        .with("busy_connections", forward_->isDrained() ? 0 : forward_->sessionsWithRequests())
         .with("usage_flushed", flusher_.hasFlushed(usage_.totals()))
         .with("ms", (now - drainStart_).count());
     {
--- a/testing/forward/forward_fixture.h
+++ b/testing/forward/forward_fixture.h
@@ -123,6 +123,22 @@
     RawSocket connect() const { return RawSocket::connectTo(port_); }
     ForwardServer& server() { return *server_; }
     UsageCounter& usage() { return usage_; }
+    // Returns how many connections have ended so.
+    int connectionEnds(ConnectionEnd end, UnansweredInput input) const
+    {
+        for (const prometheus::MetricFamily& family : registry_.Collect()) {
+            if (family.name != "ragwortwinch_caller_connection_ends_total")
+                continue;
+            for (const prometheus::ClientMetric& metric : family.metric) {
+                bool isAsked = metric.label.size() == 2
+                    && metric.label[0].value == connectionEndNames.name(end)
+                    && metric.label[1].value == unansweredInputNames.name(input);
+                if (isAsked)
+                    return static_cast<int>(metric.counter.value);
+            }
+        }
+        return 0;
+    }
 
     static std::string request(const std::string& path, const std::string& id, const std::string& body = "",
         const std::string& extra = "")
