Close a caller's connection only after a reply that announced it

Callers of a stopping VM lost requests: the connection of a reply that began before the stop, as of every stream that runs at the SIGTERM, was closed behind it although its head had no "Connection: close". The next request, which callers send at once, was read and dropped. The caller saw the end as soon as the VM came to it: usually within milliseconds, but later on a VM that is behind.

Ruled out for these requests: silence, the stop's time bound, slow readers, idle timeouts.

Whether a connection ends is now decided once, when the head of the reply is made, and the head says it. Other connections wait for their next request, which is answered with the announcement, or until they have been idle after the listener closed.

--- a/ragwortwinch/forward/caller_session.cc
+++ b/ragwortwinch/forward/caller_session.cc
@@ -267,9 +267,11 @@
     exchange->start();
 }
 
-std::string CallerSession::connectionField() const
+std::string CallerSession::connectionField()
 {
-    if (mustClose_ || owner_.isDraining())
+    if (owner_.isDraining())
+        mustClose_ = true;
+    if (mustClose_)
         return "Connection: close\r\n";
     return request_ && request_->isHttp10 ? "Connection: keep-alive\r\n" : "";
 }
@@ -277,8 +279,6 @@
 void CallerSession::sendWhole(std::string head, std::string body, bool hasNoBody)
 {
     state_ = State::Replying;
-    if (owner_.isDraining())
-        mustClose_ = true;
     head += connectionField();
     head += fmt::format("Content-Length: {}\r\n\r\n", body.size());
     if (!hasNoBody)
@@ -290,7 +290,7 @@
 {
     state_ = State::Replying;
     isChunked_ = !request_->isHttp10;
-    if (owner_.isDraining() || !isChunked_)
+    if (!isChunked_)
         mustClose_ = true;
     head += connectionField();
     if (isChunked_)
@@ -346,7 +346,8 @@
 {
     isReplyComplete_ = true;
     releaseBuffered();
-    if (mustClose_ || owner_.isDraining()) {
+    // The caller may have sent its next request unless the reply has announced the end.
+    if (mustClose_) {
         linger();
         return;
     }
--- a/ragwortwinch/forward/caller_session.h
+++ b/ragwortwinch/forward/caller_session.h
@@ -3,7 +3,8 @@
 //
 // A request is started, sent and sent again only while its caller is connected, and stopped as soon as it
 // disconnects. Bytes that the caller has sent behind the request are read ahead, up to a limit, so that they
-// don't hide the end of the connection. A caller that closes only its sending side counts as disconnected.
+// don't hide the end of the connection. A connection is closed only after a reply that announced it, or while
+// it waits for a request. A caller that closes only its sending side counts as disconnected.
 // Confined to the forwarding thread.
 #pragma once
 
@@ -31,7 +32,7 @@
     // Reserves buffer memory for a body. Returns false when the limit is reached.
     virtual bool reserve(std::size_t bytes) = 0;
     virtual void release(std::size_t bytes) = 0;
-    // True while this VM is stopping: each connection closes after its current request.
+    // True while this VM is stopping: each reply that begins announces the end of its connection.
     virtual bool isDraining() const = 0;
 };
 
@@ -88,7 +89,8 @@
     bool hasUnreadBytes();
     // Replaces the current timeout; zero only cancels it.
     void armTimer(Millis timeout, std::function<void()> onExpired);
-    std::string connectionField() const;
+    // Returns the field that tells the caller whether the connection ends with this reply, and remembers it.
+    std::string connectionField();
     void write(std::string bytes, std::function<void()> onWritten);
     void onReplied();
     void linger();
@@ -113,6 +115,7 @@
     std::string outgoing_;
     std::string outgoingBody_;
     bool isWriting_ = false;
+    // The current reply announces the end of the connection.
     bool mustClose_ = false;
     bool isChunked_ = false;
     // The last request's reply has been written.
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -69,11 +69,12 @@
     std::map<std::string, EndpointWork> work() const;
     // How far the forwarding thread was behind at most in the last second.
     Millis recentLag() const { return Millis(recentLagMillis_.load()); }
-    // From now on each reply closes its connection. After `ForwardOptions::drainGrace`, requests whose
-    // deadline isn't before `end` are refused.
+    // From now on each reply that begins announces the end of its connection. After
+    // `ForwardOptions::drainGrace`, requests whose deadline isn't before `end` are refused.
     void beginDrain(Instant end);
     // Accepts the connections that the kernel has queued, then stops listening. After `beginDrain`, each
-    // connection that is left serves at most one more request, so the server ends up without any.
+    // connection that is left serves at most one more request after the one in progress, so the server ends
+    // up without any.
     void closeListener();
     // Closes connections that have waited for a request for at least `minIdle` and have no unread bytes.
     void closeIdleSessions(Millis minIdle);
--- a/ragwortwinch/forward/planned_stop_test.cc
+++ b/ragwortwinch/forward/planned_stop_test.cc
@@ -72,49 +72,46 @@
     std::string rest_;
 };
 
-TEST_SUITE("planned_stop")
+TEST_CASE("a stopping server answers a request that it has read behind a stream from before the stop")
 {
-    TEST_CASE("a stopping server answers a request that it has read behind a stream from before the stop")
-    {
-        ForwardFixture fixture;
-        fixture.setConfig(ForwardFixture::sampleConfig());
-        StreamingEndpoint streaming;
-        fixture.setEndpoints({&streaming.endpoint()});
-        RawSocket caller = fixture.connect();
-        caller.send(ForwardFixture::request("/single/a", "r1"));
-        REQUIRE(caller.readUntil("data: a\n\n").ends_with("data: a\n\n"));
-        caller.send(ForwardFixture::request("/once/a", "r2"));
-        fixture.server().beginDrain(SystemClock().now() + Millis(7000));
-        streaming.endStream();
-        CHECK(caller.readUntil(lastChunk).ends_with(lastChunk));
-        std::string answer = caller.readMessage();
-        CHECK(answer.ends_with("fine"));
-        CHECK(fieldOf(answer, "Connection") == "close");
-        bool hasClosed = false;
-        CHECK(caller.readToEnd(hasClosed, 1000).empty());
-        CHECK(hasClosed);
-    }
+    ForwardFixture fixture;
+    fixture.setConfig(ForwardFixture::sampleConfig());
+    StreamingEndpoint streaming;
+    fixture.setEndpoints({&streaming.endpoint()});
+    RawSocket caller = fixture.connect();
+    caller.send(ForwardFixture::request("/single/a", "r1"));
+    REQUIRE(caller.readUntil("data: a\n\n").ends_with("data: a\n\n"));
+    caller.send(ForwardFixture::request("/once/a", "r2"));
+    fixture.server().beginDrain(SystemClock().now() + Millis(7000));
+    streaming.endStream();
+    CHECK(caller.readUntil(lastChunk).ends_with(lastChunk));
+    std::string answer = caller.readMessage();
+    CHECK(answer.ends_with("fine"));
+    CHECK(fieldOf(answer, "Connection") == "close");
+    bool hasClosed = false;
+    CHECK(caller.readToEnd(hasClosed, 1000).empty());
+    CHECK(hasClosed);
+}
 
-    TEST_CASE("a stopping server that is behind answers a request that follows a stream from before the stop")
-    {
-        ForwardFixture fixture;
-        fixture.setConfig(ForwardFixture::sampleConfig());
-        StreamingEndpoint streaming;
-        fixture.setEndpoints({&streaming.endpoint()});
-        RawSocket caller = fixture.connect();
-        caller.send(ForwardFixture::request("/single/a", "r1"));
-        REQUIRE(caller.readUntil("data: a\n\n").ends_with("data: a\n\n"));
-        TwoStalls stalls(fixture);
-        fixture.server().beginDrain(SystemClock().now() + Millis(7000));
-        streaming.endStream();
-        std::this_thread::sleep_for(milliseconds(50));
-        stalls.addSecond();
-        REQUIRE(caller.readUntil(lastChunk).ends_with(lastChunk));
-        caller.send(ForwardFixture::request("/once/a", "r2"));
-        std::string answer = caller.readMessage();
-        CHECK(answer.ends_with("fine"));
-        CHECK(fieldOf(answer, "Connection") == "close");
-    }
+TEST_CASE("a stopping server that is behind answers a request that follows a stream from before the stop")
+{
+    ForwardFixture fixture;
+    fixture.setConfig(ForwardFixture::sampleConfig());
+    StreamingEndpoint streaming;
+    fixture.setEndpoints({&streaming.endpoint()});
+    RawSocket caller = fixture.connect();
+    caller.send(ForwardFixture::request("/single/a", "r1"));
+    REQUIRE(caller.readUntil("data: a\n\n").ends_with("data: a\n\n"));
+    TwoStalls stalls(fixture);
+    fixture.server().beginDrain(SystemClock().now() + Millis(7000));
+    streaming.endStream();
+    std::this_thread::sleep_for(milliseconds(50));
+    stalls.addSecond();
+    REQUIRE(caller.readUntil(lastChunk).ends_with(lastChunk));
+    caller.send(ForwardFixture::request("/once/a", "r2"));
+    std::string answer = caller.readMessage();
+    CHECK(answer.ends_with("fine"));
+    CHECK(fieldOf(answer, "Connection") == "close");
 }
 
 } // namespace
