Count the times of a stop from the signal

A stopping VM accepts all requests for 2.5 s, then those that end before the stop. Both times were counted from when the control thread and then the forwarding thread came to the order. A VM that is behind by half a second accepted long requests later than 3 s after the SIGTERM and cut them at its stop bound, where the platform no longer excuses that.

The thread that receives the signal now takes the time and tells the forwarding thread itself. node.draining shows how old the order was when the control thread came to it.

No run of real processes has shown the fault.

--- a/ragwortwinch/forward/drain_test.cc
+++ b/ragwortwinch/forward/drain_test.cc
@@ -33,7 +33,7 @@
     fixture.setConfig(ForwardFixture::sampleConfig());
     FakeEndpoint endpoint(answerOk);
     fixture.setEndpoints({&endpoint});
-    fixture.server().beginDrain(SystemClock().now() + Millis(3000));
+    fixture.server().beginDrain(SystemClock().now(), SystemClock().now() + Millis(3000));
     RawSocket early = fixture.connect();
     early.send(ForwardFixture::request("/once/a", "r1"));
     CHECK(early.readMessage().starts_with("HTTP/1.1 200 "));
@@ -57,7 +57,7 @@
     RawSocket idle = fixture.connect();
     busy.send(ForwardFixture::request("/once/a", "r1"));
     REQUIRE(waitFor([&] { return endpoint.requests().size() == 1; }, 1000));
-    fixture.server().beginDrain(SystemClock().now() + Millis(7000));
+    fixture.server().beginDrain(SystemClock().now(), SystemClock().now() + Millis(7000));
     fixture.server().closeIdleSessions(Millis(0));
     bool hasClosed = false;
     CHECK(idle.readToEnd(hasClosed, 500).empty());
@@ -78,7 +78,7 @@
     std::vector<RawSocket> callers;
     for (int number = 0; number < 20; ++number)
         callers.push_back(fixture.connect());
-    fixture.server().beginDrain(SystemClock().now() + Millis(7000));
+    fixture.server().beginDrain(SystemClock().now(), SystemClock().now() + Millis(7000));
     fixture.server().closeListener();
     REQUIRE(waitFor([&] { return !fixture.connect().isOpen(); }, 1000));
     CHECK_FALSE(fixture.server().isDrained());
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -243,11 +243,11 @@
         });
 }
 
-void ForwardServer::beginDrain(Instant end)
+void ForwardServer::beginDrain(Instant start, Instant end)
 {
     isDraining_.store(true);
-    boost::asio::post(io_, [this, end] {
-        context_.drain = DrainTimes{context_.clock.now() + options_.drainGrace, end};
+    boost::asio::post(io_, [this, start, end] {
+        context_.drain = DrainTimes{start + options_.drainGrace, end};
     });
 }
 
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -4,7 +4,7 @@
 //     Result<std::uint16_t> port = server.listen(address);
 //     server.run();                              // on the forwarding thread
 //     server.setEndpoints(records, regions);     // any thread
-//     server.beginDrain(end);                    // any thread
+//     server.beginDrain(start, end);             // any thread
 //     server.closeListener();                    // any thread, after callers have newer addresses
 //     while (!server.isDrained()) ...            // any thread
 //
@@ -69,9 +69,10 @@
     std::map<std::string, EndpointWork> work() const;
     // How far the forwarding thread was behind at most in the last second.
     Millis recentLag() const { return Millis(recentLagMillis_.load()); }
-    // From now on each reply that begins announces the end of its connection. After
-    // `ForwardOptions::drainGrace`, requests whose deadline isn't before `end` are refused.
-    void beginDrain(Instant end);
+    // From now on each reply that begins announces the end of its connection. From
+    // `ForwardOptions::drainGrace` after `start`, when the stop was ordered, requests whose deadline isn't
+    // before `end` are refused.
+    void beginDrain(Instant start, Instant end);
     // Accepts the connections that the kernel has queued, then stops listening. After `beginDrain`, each
     // connection that is left serves at most one more request after the one in progress, so the server ends
     // up without any.
--- a/ragwortwinch/forward/planned_stop_test.cc
+++ b/ragwortwinch/forward/planned_stop_test.cc
@@ -82,7 +82,7 @@
     caller.send(ForwardFixture::request("/single/a", "r1"));
     REQUIRE(caller.readUntil("data: a\n\n").ends_with("data: a\n\n"));
     caller.send(ForwardFixture::request("/once/a", "r2"));
-    fixture.server().beginDrain(SystemClock().now() + Millis(7000));
+    fixture.server().beginDrain(SystemClock().now(), SystemClock().now() + Millis(7000));
     streaming.endStream();
     CHECK(caller.readUntil(lastChunk).ends_with(lastChunk));
     std::string answer = caller.readMessage();
@@ -103,7 +103,7 @@
     caller.send(ForwardFixture::request("/single/a", "r1"));
     REQUIRE(caller.readUntil("data: a\n\n").ends_with("data: a\n\n"));
     TwoStalls stalls(fixture);
-    fixture.server().beginDrain(SystemClock().now() + Millis(7000));
+    fixture.server().beginDrain(SystemClock().now(), SystemClock().now() + Millis(7000));
     streaming.endStream();
     std::this_thread::sleep_for(milliseconds(50));
     stalls.addSecond();
@@ -114,5 +114,19 @@
     CHECK(fieldOf(answer, "Connection") == "close");
 }
 
+TEST_CASE("the times of a stop count from its order, also on a server that is behind")
+{
+    ForwardFixture fixture;
+    fixture.setConfig(ForwardFixture::sampleConfig());
+    StreamingEndpoint streaming;
+    fixture.setEndpoints({&streaming.endpoint()});
+    Instant now = SystemClock().now();
+    // The order is older than ForwardOptions::drainGrace.
+    fixture.server().beginDrain(now - Millis(3000), now + Millis(500));
+    RawSocket caller = fixture.connect();
+    caller.send(ForwardFixture::request("/once/a", "r1"));
+    CHECK(caller.readMessage().starts_with("HTTP/1.1 503 "));
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/silent_endpoint_test.cc
+++ b/ragwortwinch/forward/silent_endpoint_test.cc
@@ -165,7 +165,7 @@
         return;
     }
     case Change::VmStops:
-        fixture.server().beginDrain(SystemClock().now() + Millis(4000));
+        fixture.server().beginDrain(SystemClock().now(), SystemClock().now() + Millis(4000));
         fixture.server().closeListener();
         fixture.server().closeIdleSessions(Millis(0));
         return;
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -259,15 +259,18 @@
 
 void GatewayNode::drain()
 {
-    asio::post(context_, [this] {
-        if (isDraining_)
-            return;
+    if (isStopOrdered_.exchange(true))
+        return;
+    // The stop's times count from here, even if the other threads are behind.
+    Instant start = clock_.now();
+    forward_->beginDrain(start, start + settings_.stopBound);
+    asio::post(context_, [this, start] {
         isDraining_ = true;
-        drainStart_ = clock_.now();
+        drainStart_ = start;
         LogEvent("node.draining")
             .with("node", settings_.node)
-            .with("busy_connections", forward_->sessionsWithRequests());
-        forward_->beginDrain(drainStart_ + settings_.stopBound);
+            .with("busy_connections", forward_->sessionsWithRequests())
+            .with("order_age_ms", (clock_.now() - start).count());
         registration_->remove();
         duties_->requestLeaseRelease();
         flusher_.flushSoon();
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -131,6 +131,7 @@
     std::unique_ptr<WatchableStore> store_;
     Snapshot<VmDirectory> directory_;
     std::atomic<bool> isReady_{false};
+    std::atomic<bool> isStopOrdered_{false};
 
     // The members up to `drainStart_` are used by the control thread only.
     asio::io_context context_;
