Answer a request that arrives as the idle timeout passes

The idle timeout closed a caller's connection without looking at its socket. On a VM that is behind, the timer's event can wait while the caller's next request arrives; the connection was then reset although the caller had kept within the timeout. The same class as the connections that a stopping VM closed: a close that doesn't look for input. The close of idle connections at a stop already looked.

--- a/ragwortwinch/forward/caller_session.cc
+++ b/ragwortwinch/forward/caller_session.cc
@@ -72,7 +72,11 @@
         readRequest();
         return;
     }
-    armTimer(limits().idleTimeout, [this] { close(ConnectionEnd::IdleTimeout); });
+    armTimer(limits().idleTimeout, [this] {
+        // A request may have arrived that this thread has not come to yet.
+        if (!hasUnreadBytes())
+            close(ConnectionEnd::IdleTimeout);
+    });
     watch();
 }
 
--- a/ragwortwinch/forward/planned_stop_test.cc
+++ b/ragwortwinch/forward/planned_stop_test.cc
@@ -157,5 +157,24 @@
         [&] { return fixture.connectionEnds(ConnectionEnd::Aborted, UnansweredInput::Request) == 1; }, 500));
 }
 
+TEST_CASE("a request that arrives as the idle timeout passes is answered by a server that is behind")
+{
+    ForwardFixture fixture;
+    TrafficConfig config = ForwardFixture::sampleConfig();
+    config.limits.idleTimeout = Millis(300);
+    fixture.setConfig(config);
+    StreamingEndpoint streaming;
+    fixture.setEndpoints({&streaming.endpoint()});
+    RawSocket caller = fixture.connect();
+    caller.send(ForwardFixture::request("/once/a", "r1"));
+    REQUIRE(caller.readMessage().ends_with("fine"));
+    // The timeout passes while the first stall lasts, and the request arrives during the second.
+    TwoStalls stalls(fixture);
+    stalls.addSecond();
+    std::this_thread::sleep_for(milliseconds(400));
+    caller.send(ForwardFixture::request("/once/a", "r2"));
+    CHECK(caller.readMessage().ends_with("fine"));
+}
+
 } // namespace
 } // namespace ragwortwinch
