Let callers pause while they read a reply

TCP_USER_TIMEOUT limits how long data may stay unacknowledged, and on a real kernel also how long the peer's window may stay closed.

A caller's connection now fails after the operators' idle timeout. That a caller's system doesn't respond at all is still found within about 1.5 s, from retransmissions without acknowledgement; no test plays that, since the loopback loses nothing. Whole replies count against the memory for replies until they are written, since they may wait longer.

--- a/ragwortwinch/forward/caller_session.cc
+++ b/ragwortwinch/forward/caller_session.cc
@@ -52,7 +52,8 @@
 
 void CallerSession::start()
 {
-    internal::setStreamOptions(socket_);
+    // As long as the operators let a caller wait between requests.
+    internal::setCallerOptions(socket_, limits().idleTimeout);
     waitForRequest();
 }
 
@@ -287,6 +288,8 @@
     head += fmt::format("Content-Length: {}\r\n\r\n", body.size());
     if (!hasNoBody)
         head += body;
+    context_.replyMemory.bytes += head.size();
+    heldReplyBytes_ = head.size();
     write(std::move(head), [self = shared_from_this()] { self->onReplied(); });
 }
 
--- a/ragwortwinch/forward/caller_session.h
+++ b/ragwortwinch/forward/caller_session.h
@@ -45,6 +45,9 @@
     // Closes the connection if it has waited for a request for at least `minIdle` and has no unread bytes.
     void closeIfIdle(Millis minIdle);
     bool isIdle() const { return state_ == State::Idle; }
+    // Whether bytes wait to be sent and the caller's system doesn't respond.
+    bool isCallerUnreachable();
+    void endUnreachable();
     // Ends the request in progress, if any, with what can be told now.
     void endRequest();
     // Reports a connection that ends with the process.
@@ -127,6 +130,8 @@
     // Read behind the last request and dropped.
     std::size_t droppedBytes_ = 0;
     std::size_t bufferedBytes_ = 0;
+    // Part of `ReplyMemory::bytes`: a whole reply until it has been written.
+    std::size_t heldReplyBytes_ = 0;
 };
 
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/caller_session_end.cc
+++ b/ragwortwinch/forward/caller_session_end.cc
@@ -63,6 +63,10 @@
         close(ConnectionEnd::IdleAtStop);
 }
 
+bool CallerSession::isCallerUnreachable() { return isWriting_ && internal::isUnreachable(socket_); }
+
+void CallerSession::endUnreachable() { onCallerGone(ConnectionEnd::WriteFailed); }
+
 void CallerSession::endRequest()
 {
     std::shared_ptr<Exchange> exchange = exchange_;
@@ -118,6 +122,8 @@
 {
     owner_.release(bufferedBytes_);
     bufferedBytes_ = 0;
+    context_.replyMemory.bytes -= heldReplyBytes_;
+    heldReplyBytes_ = 0;
 }
 
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/endpoint_channel.cc
+++ b/ragwortwinch/forward/endpoint_channel.cc
@@ -15,7 +15,7 @@
 
 EndpointChannel::~EndpointChannel() { --endpoint_->openChannels; }
 
-void EndpointChannel::configure() { internal::setStreamOptions(socket_); }
+void EndpointChannel::configure() { internal::setEndpointOptions(socket_); }
 
 bool EndpointChannel::isIdleAndOpen()
 {
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -145,8 +145,14 @@
                 {endpoint->record.id, endpoint->record.incarnation, *endpoint->limit.ownObservation()});
     }
     std::size_t busy = 0;
-    for (const std::shared_ptr<CallerSession>& session : sessions_)
+    std::vector<std::shared_ptr<CallerSession>> unreachable;
+    for (const std::shared_ptr<CallerSession>& session : sessions_) {
         busy += session->isIdle() ? 0 : 1;
+        if (session->isCallerUnreachable())
+            unreachable.push_back(session);
+    }
+    for (const std::shared_ptr<CallerSession>& session : unreachable)
+        session->endUnreachable();
     sessionsWithRequests_.store(busy);
     metrics_.setSessions(sessions_.size());
     metrics_.setBufferedBytes(bufferedBytes_);
--- a/ragwortwinch/forward/planned_stop_test.cc
+++ b/ragwortwinch/forward/planned_stop_test.cc
@@ -176,5 +176,21 @@
     CHECK(caller.readMessage().ends_with("fine"));
 }
 
+TEST_CASE("a caller that pauses while it reads receives its whole reply")
+{
+    ForwardFixture fixture;
+    fixture.setConfig(ForwardFixture::sampleConfig());
+    std::string body(2000000, 'x');
+    FakeEndpoint endpoint([&](RawSocket& socket, const std::string& request) {
+        socket.send(answerTo(request, body));
+        return true;
+    });
+    fixture.setEndpoints({&endpoint});
+    RawSocket caller = fixture.connect();
+    caller.send(ForwardFixture::request("/once/a", "r1"));
+    std::this_thread::sleep_for(milliseconds(4000));
+    CHECK(caller.readMessage().size() > body.size());
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/reply_buffer.h
+++ b/ragwortwinch/forward/reply_buffer.h
@@ -1,4 +1,4 @@
-// Holds a whole reply while it is read, within a limit on all replies that a VM holds this way.
+// Holds a whole reply while it is read, within a limit on all whole replies that a VM reads or writes.
 //
 //     ReplyMemory memory;
 //     ReplyBuffer body(memory);
