Block signals before the daemon reads its settings

They are blocked first now and handled when the process has started; a SIGTERM then stops it gracefully.

A signal before main still ends the process.

--- a/ragwortwinch/node/ragwortwinchd_main.cc
+++ b/ragwortwinch/node/ragwortwinchd_main.cc
@@ -117,7 +117,6 @@
         BOOST_LEAF_AUTO(settings, ragwortwinch::parseGatewaySettings(text));
         if (isCheckOnly)
             return 0;
-        blockSignals();
         ragwortwinch::GatewayNode* node = new ragwortwinch::GatewayNode(std::move(settings));
         watchSettingsFile(*node, path);
         return runNode(*node, [node, path] { reloadGateway(*node, path); });
@@ -125,7 +124,6 @@
     BOOST_LEAF_AUTO(settings, ragwortwinch::parseSettings(text));
     if (isCheckOnly)
         return 0;
-    blockSignals();
     ragwortwinch::Node* node = new ragwortwinch::Node(std::move(settings));
     return runNode(*node, [] { ragwortwinch::LogEvent("settings.hang_up_ignored"); });
 }
@@ -134,6 +132,8 @@
 
 int main(int argc, char** argv)
 {
+    // Before anything that takes time: until then a SIGHUP ends the process.
+    blockSignals();
     options::options_description description(
         "ragwortwinchd: serves callers on one entry VM\n\nusage: ragwortwinchd --settings FILE");
     description.add_options()("help", "show this text")("settings", options::value<std::string>(),
