Accept queued connections together

The server accepted one connection for each turn of its queue. With many busy connections a turn takes long, and new callers, whose connections the kernel had already accepted, waited for seconds; when the VM then closed its listener or was full, they were reset, unread.

--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/forward/forward_server.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
 #include <future>
+#include <limits>
 
 namespace ragwortwinch {
 
@@ -13,6 +14,8 @@
 
 // Pause after an accept failed, for example for lack of file descriptors.
 constexpr Millis acceptPause{50};
+// Limit on connections accepted in one event, so that requests in progress don't wait long for them.
+constexpr std::size_t maxAcceptsPerEvent = 64;
 
 } // namespace
 
@@ -45,6 +48,8 @@
         acceptor_.bind(endpoint, error);
     if (!error)
         acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    if (!error)
+        acceptor_.non_blocking(true, error);
     if (error)
         return makeError(ErrorKind::BadSettings,
             fmt::format("can't listen on {} for callers: {}; free the port or change `entry_address`",
@@ -76,17 +81,36 @@
                 acceptTimer_.async_wait([this](const boost::system::error_code&) { accept(); });
                 return;
             }
-            if (!error)
+            if (!error) {
                 addSession(std::move(socket));
+                // One accept for each turn of a busy thread's queue would let callers wait for seconds.
+                boost::system::error_code ignored;
+                acceptQueued(maxAcceptsPerEvent - 1, ignored);
+            }
             updateDrained();
             accept();
         });
 }
 
+std::size_t ForwardServer::acceptQueued(std::size_t most, boost::system::error_code& error)
+{
+    std::size_t accepted = 0;
+    while (accepted < most && acceptor_.is_open()) {
+        boost::asio::ip::tcp::socket socket(io_);
+        acceptor_.accept(socket, error);
+        if (error)
+            break;
+        ++accepted;
+        addSession(std::move(socket));
+    }
+    return accepted;
+}
+
 void ForwardServer::addSession(boost::asio::ip::tcp::socket socket)
 {
     if (sessions_.size() >= options_.maxSessions) {
-        LogEvent("callers.too_many", Severity::Warning).with("connections", sessions_.size());
+        if (log_.shouldLogFailure(context_.clock.now()))
+            LogEvent("callers.too_many", Severity::Warning).with("connections", sessions_.size());
         boost::system::error_code ignored;
         socket.close(ignored);
         return;
@@ -263,16 +287,7 @@
         if (!acceptor_.is_open())
             return;
         boost::system::error_code error;
-        acceptor_.non_blocking(true, error);
-        std::size_t queued = 0;
-        while (!error) {
-            boost::asio::ip::tcp::socket socket(io_);
-            acceptor_.accept(socket, error);
-            if (!error) {
-                ++queued;
-                addSession(std::move(socket));
-            }
-        }
+        std::size_t queued = acceptQueued(std::numeric_limits<std::size_t>::max(), error);
         if (error != boost::asio::error::would_block)
             LogEvent("callers.accept_failed", Severity::Warning).with("problem", error.message());
         boost::system::error_code ignored;
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/forward/forward_server.h
@@ -95,6 +95,9 @@
     bool isDraining() const override { return isDraining_.load(std::memory_order_relaxed); }
 
     void accept();
+    // Accepts connections that the kernel has queued, at most `most`. Returns how many; `error` says why it
+    // stopped before.
+    std::size_t acceptQueued(std::size_t most, boost::system::error_code& error);
     void addSession(boost::asio::ip::tcp::socket socket);
     void updateDrained();
     void scheduleSweep();
--- a/ragwortwinch/forward/planned_stop_test.cc
+++ b/ragwortwinch/forward/planned_stop_test.cc
@@ -192,5 +192,35 @@
     CHECK(caller.readMessage().size() > body.size());
 }
 
+TEST_CASE("a busy server accepts new connections within two turns of its queue")
+{
+    ForwardFixture fixture;
+    fixture.setConfig(ForwardFixture::sampleConfig());
+    StreamingEndpoint streaming;
+    fixture.setEndpoints({&streaming.endpoint()});
+    // Each turn of the server's queue takes 40 times 5 ms.
+    constexpr int busyCallers = 40;
+    constexpr int requestsEach = 30;
+    constexpr int newCallers = 20;
+    std::vector<RawSocket> busy;
+    for (int caller = 0; caller < busyCallers; ++caller) {
+        busy.push_back(fixture.connect());
+        std::string requests;
+        for (int number = 0; number < requestsEach; ++number)
+            requests += ForwardFixture::request("/nowhere/a", "b", "", "Stall: 5\r\n");
+        busy.back().send(requests);
+    }
+    std::this_thread::sleep_for(milliseconds(300));
+    std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
+    std::vector<RawSocket> callers;
+    for (int caller = 0; caller < newCallers; ++caller) {
+        callers.push_back(fixture.connect());
+        callers.back().send(ForwardFixture::request("/once/a", "n" + std::to_string(caller)));
+    }
+    for (RawSocket& caller : callers)
+        CHECK(caller.readMessage().ends_with("fine"));
+    CHECK(std::chrono::steady_clock::now() - start < milliseconds(2000));
+}
+
 } // namespace
 } // namespace ragwortwinch
