--- a/ragwortwinch/forward/caller_session.cc
+++ b/ragwortwinch/forward/caller_session.cc
@@ -108,7 +108,7 @@
     if (parser_)
         return;
     if (error || readAhead())
-        onCallerGone();
+        cancelAndClose(ConnectionEnd::CallerGone);
     else if (buffer_.size() < maxReadAheadBytes)
         watch();
     else
@@ -133,11 +133,11 @@
 {
     if (state_ != State::Closed && !readAhead())
         return false;
-    onCallerGone();
+    cancelAndClose(ConnectionEnd::CallerGone);
     return true;
 }
 
-void CallerSession::onCallerGone(ConnectionEnd end)
+void CallerSession::cancelAndClose(ConnectionEnd end)
 {
     if (exchange_)
         exchange_->cancel();
@@ -346,7 +346,7 @@
             .with("request", request_ ? request_->caller.id : std::string())
             .with("problem", error.message())
             .with("bytes", outgoing_.size());
-    onCallerGone(hasCallerLeft ? ConnectionEnd::CallerGone : ConnectionEnd::WriteFailed);
+    cancelAndClose(hasCallerLeft ? ConnectionEnd::CallerGone : ConnectionEnd::WriteFailed);
 }
 
 void CallerSession::onReplied()
--- a/ragwortwinch/forward/caller_session.h
+++ b/ragwortwinch/forward/caller_session.h
@@ -86,7 +86,8 @@
     void rejectInput(int status, ErrorKind kind, const std::string& message);
     std::string inputProblem() const;
     void run();
-    void onCallerGone(ConnectionEnd end = ConnectionEnd::CallerGone);
+    // Cancels the request in progress, if any, and closes the connection.
+    void cancelAndClose(ConnectionEnd end);
     void onWriteError(const ErrorCode& error);
     // Reads what the caller has sent behind the request, without waiting. Returns whether the connection has
     // ended.
--- a/ragwortwinch/forward/caller_session_end.cc
+++ b/ragwortwinch/forward/caller_session_end.cc
@@ -65,7 +65,7 @@
 
 bool CallerSession::isCallerUnreachable() { return isWriting_ && internal::isUnreachable(socket_); }
 
-void CallerSession::endUnreachable() { onCallerGone(ConnectionEnd::WriteFailed); }
+void CallerSession::endUnreachable() { cancelAndClose(ConnectionEnd::WriteFailed); }
 
 void CallerSession::endRequest()
 {
