Keep a stream's endpoint that pauses while it accepts connections

Cause: after 750 ms of silence the stream was resumed at a second endpoint, and the first run was stopped as soon as the second had sent its header. When that one paused for 1.2 s too, the caller waited 1,950 ms of its 2,000.

The VM now connects to the silent endpoint of a stream that has begun. One that accepts the connection may pause for 1,400 ms in all; one that refuses or doesn't answer is replaced as before. Requests before their first event are unchanged. A caller then waits for one pause, not for the gap timeout and a pause.

CrashDetector's probe became ConnectionProbe, without change.

--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -76,6 +76,12 @@
 }
 
 void Attempt::armTimer(Millis timeout, AttemptEnd reason)
+{
+    silentSince_ = clock_.now();
+    startTimer(timeout, reason);
+}
+
+void Attempt::startTimer(Millis timeout, AttemptEnd reason)
 {
     std::uint64_t generation = ++timerGeneration_;
     if (timeout.count() <= 0) {
@@ -91,10 +97,13 @@
 
 void Attempt::onTimeout(Millis timeout, AttemptEnd reason)
 {
-    if (reason == AttemptEnd::Silent && !listener_->mayEndSilent())
-        armTimer(timeout, reason);
-    else
+    SilenceDecision decision;
+    if (reason == AttemptEnd::Silent)
+        decision = listener_->onSilence(clock_.now() - silentSince_);
+    if (decision.mayEnd)
         end(reason);
+    else
+        startTimer(decision.askAgainAfter.count() > 0 ? decision.askAgainAfter : timeout, reason);
 }
 
 void Attempt::send()
--- a/ragwortwinch/forward/attempt.h
+++ b/ragwortwinch/forward/attempt.h
@@ -53,15 +53,23 @@
     return end == AttemptEnd::Complete || end == AttemptEnd::Broken || end == AttemptEnd::Silent;
 }
 
+// What to do about an attempt on which nothing has arrived for a while.
+struct SilenceDecision {
+    // Ends the attempt as Silent.
+    bool mayEnd = true;
+    // Otherwise, when to ask again if nothing arrives; zero for the same time as before.
+    Millis askAgainAfter{0};
+};
+
 class AttemptListener {
 public:
     virtual ~AttemptListener() = default;
     // Called before the first byte is sent. Returns true if nobody waits for the reply any more; the listener
     // has cancelled the attempt then.
     virtual bool cancelIfUnwanted() { return false; }
-    // Called when nothing has arrived within the first-byte or gap timeout. Returns true to end the attempt
-    // as Silent; otherwise it waits for as long again. The listener must not end the attempt itself.
-    virtual bool mayEndSilent() { return true; }
+    // Called when nothing has arrived within the first-byte or gap timeout, and for `silence` in all. The
+    // listener must not end the attempt itself.
+    virtual SilenceDecision onSilence(Millis /*silence*/) { return {}; }
     // The reply's status line and fields. Not called for replies that end as NotExecuted or Misdirected.
     virtual void onReplyHead(int status, std::string_view reason, const HttpFields& fields) = 0;
     // Part of the body. The next part is delivered after `resume`.
@@ -119,6 +127,7 @@
     void send();
     // Replaces the current timeout; zero only cancels it.
     void armTimer(Millis timeout, AttemptEnd end);
+    void startTimer(Millis timeout, AttemptEnd end);
     void onTimeout(Millis timeout, AttemptEnd end);
     void readHead();
     void onHead(const boost::system::error_code& error);
@@ -145,6 +154,8 @@
     AttemptListener* listener_;
     boost::asio::steady_timer timer_;
     std::uint64_t timerGeneration_ = 0;
+    // When the timer was armed last, other than to ask the listener again.
+    Instant silentSince_;
     ChannelPointer channel_;
     std::string head_;
     std::shared_ptr<const std::string> body_;
--- a/ragwortwinch/forward/crash_detector.cc
+++ b/ragwortwinch/forward/crash_detector.cc
@@ -1,54 +1,9 @@
 #include "ragwortwinch/forward/crash_detector.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include "ragwortwinch/forward/connection_probe.h"
 
 namespace ragwortwinch {
 
-// Connects to an endpoint and closes the connection again.
-class CrashDetector::Probe : public std::enable_shared_from_this<Probe> {
-public:
-    Probe(CrashDetector& owner, UpstreamPointer endpoint)
-        : owner_(owner.self_)
-        , endpoint_(std::move(endpoint))
-        , socket_(owner.io_)
-        , timer_(owner.io_)
-    {
-    }
-
-    void start(Millis timeout)
-    {
-        timer_.expires_after(timeout);
-        timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
-            if (!error)
-                self->end(false);
-        });
-        socket_.async_connect(
-            endpoint_->socketAddress, [self = shared_from_this()](const boost::system::error_code& error) {
-                self->end(error == boost::asio::error::connection_refused);
-            });
-    }
-
-private:
-    void end(bool isRefused)
-    {
-        if (isEnded_)
-            return;
-        isEnded_ = true;
-        timer_.cancel();
-        boost::system::error_code ignored;
-        socket_.close(ignored);
-        if (std::shared_ptr<CrashDetector*> owner = owner_.lock())
-            (*owner)->onProbeEnd(endpoint_, isRefused);
-    }
-
-    std::weak_ptr<CrashDetector*> owner_;
-    UpstreamPointer endpoint_;
-    boost::asio::ip::tcp::socket socket_;
-    boost::asio::steady_timer timer_;
-    bool isEnded_ = false;
-};
-
 CrashDetector::CrashDetector(boost::asio::io_context& io, const Clock& clock, Millis connectTimeout)
     : io_(io)
     , clock_(clock)
@@ -133,8 +88,13 @@
         endpoint, EndpointCrash{endpoint->record.id, endpoint->record.incarnation, clock_.now(), {}});
     if (entry->second.requests.size() < maxRequests)
         entry->second.requests.push_back({std::move(parts), sentAt});
-    if (isNew)
-        std::make_shared<Probe>(*this, endpoint)->start(connectTimeout_);
+    if (!isNew)
+        return;
+    ConnectionProbe::start(io_, endpoint, connectTimeout_,
+        [owner = std::weak_ptr<CrashDetector*>(self_), endpoint](ProbeResult result) {
+            if (std::shared_ptr<CrashDetector*> detector = owner.lock())
+                (*detector)->onProbeEnd(endpoint, result == ProbeResult::Refused);
+        });
 }
 
 void CrashDetector::onProbeEnd(const UpstreamPointer& endpoint, bool isRefused)
--- a/ragwortwinch/forward/crash_detector.h
+++ b/ragwortwinch/forward/crash_detector.h
@@ -77,8 +77,6 @@
     void onConnectionLost(const UpstreamPointer& endpoint, const RequestTraits& traits, Instant sentAt);
 
 private:
-    class Probe;
-
     void onProbeEnd(const UpstreamPointer& endpoint, bool isRefused);
     std::optional<Instant> lastAnswer(TraitId trait) const;
 
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -341,6 +341,7 @@
         cacheSource_.clear();
         cacheHolder_.reset();
     }
+    endSilenceProbe();
     ++attempts_;
     sentAt_ = context_.clock.now();
     endpoint->limit.take(sentAt_);
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -11,6 +11,7 @@
 
 #include "ragwortwinch/base/error.h"
 #include "ragwortwinch/forward/attempt.h"
+#include "ragwortwinch/forward/connection_probe.h"
 #include "ragwortwinch/forward/engine_chooser.h"
 #include "ragwortwinch/forward/event_stream.h"
 #include "ragwortwinch/forward/forward_context.h"
@@ -56,7 +57,7 @@
 
     bool cancelIfUnwanted() override;
     // Tries to replace the silent attempt; see exchange_silence.cc.
-    bool mayEndSilent() override;
+    SilenceDecision onSilence(Millis silence) override;
     void onReplyHead(int status, std::string_view reason, const HttpFields& fields) override;
     void onReplyBody(std::string chunk) override;
     void onAttemptEnd(AttemptEnd end) override;
@@ -91,6 +92,9 @@
     void place();
     // Returns nullptr if there is none.
     UpstreamPointer chooseEndpoint();
+    // Returns how long a stream's silent endpoint may go on before it is replaced: zero if it must be
+    // replaced now.
+    Millis silenceLeft(Millis silence);
     // Whether a prefill whose engine is silent is given up.
     bool mayEndSilentPrefill();
     // Sends the request to `endpoint` and keeps the current attempt until that one is accepted.
@@ -102,6 +106,7 @@
     void dropSilent(AttemptEnd end);
     // Ends the silent attempt with the exchange.
     void endSilent();
+    void endSilenceProbe();
     void send(const UpstreamPointer& endpoint);
     AttemptOptions attemptOptions();
     // First-byte timeout after which the request is sent to another endpoint; zero for none.
@@ -155,6 +160,9 @@
     // Set while `attempt_` is the replacement of a silent attempt and not accepted yet.
     std::shared_ptr<SilentAttempt> silent_;
     boost::asio::steady_timer overlapTimer_;
+    // Tests the endpoint of a silent stream; null while events arrive.
+    std::shared_ptr<ConnectionProbe> silenceProbe_;
+    std::optional<ProbeResult> silenceProbeResult_;
     std::shared_ptr<PrefillStep> prefill_;
     // The prompt's KV cache ("address/handle") and its engine, until a decode engine is told to fetch it.
     std::string cacheSource_;
--- a/ragwortwinch/forward/exchange_end.cc
+++ b/ragwortwinch/forward/exchange_end.cc
@@ -76,6 +76,7 @@
         attempt_->cancel();
     attempt_.reset();
     endSilent();
+    endSilenceProbe();
     if (prefill_)
         prefill_->cancel();
     prefill_.reset();
--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -34,6 +34,7 @@
 
 void Exchange::onReplyBody(std::string chunk)
 {
+    endSilenceProbe();
     if (isStreamStarted_ && !isEventReply_) {
         // The endpoint refused to resume the stream; its body is dropped.
         attempt_->resume();
--- a/ragwortwinch/forward/exchange_silence.cc
+++ b/ragwortwinch/forward/exchange_silence.cc
@@ -2,7 +2,8 @@
 //
 // An endpoint may pause and still be sound, so its silence alone never ends a request: its attempt is kept
 // until the replacement is accepted, for `ForwardOptions::maxOverlap` at most, and goes on if the replacement
-// is refused.
+// is refused. A stream that has begun is not replaced before `ForwardOptions::maxSoundPause` while its
+// endpoint accepts connections: the replacement may pause as well, and the caller waits for the sum of both.
 #include "ragwortwinch/forward/exchange.h"
 
 #include "ragwortwinch/base/log_event.h"
@@ -40,7 +41,7 @@
         exchange.onReplyBody(std::move(chunk));
     }
     void onAttemptEnd(AttemptEnd end) override { exchange_.dropSilent(end); }
-    bool mayEndSilent() override { return false; }
+    SilenceDecision onSilence(Millis) override { return {.mayEnd = false}; }
 
 private:
     Exchange& exchange_;
@@ -65,21 +66,49 @@
     EventStream events;
 };
 
-bool Exchange::mayEndSilent()
+SilenceDecision Exchange::onSilence(Millis silence)
 {
     Instant now = context_.clock.now();
     if (silent_ || !mayReplaceSilent(retryState()) || context_.crashes.findQuarantined(traits_))
-        return false;
+        return {.mayEnd = false};
     UpstreamPointer endpoint = chooseEndpoint();
     if (!endpoint || context_.retryBudgetOf(service_).available(now) <= 0)
-        return false;
+        return {.mayEnd = false};
+    Millis left = isStreamStarted_ ? silenceLeft(silence) : Millis(0);
+    if (left.count() > 0)
+        return {.mayEnd = false, .askAgainAfter = left};
     // A VM that is behind could stop the silent run too late for the overlap.
     if (context_.lag.recentLag(now) >= maxLagForOverlap)
-        return true;
+        return {.mayEnd = true};
     if (takeRetry(now))
         replaceSilent(endpoint);
     // The attempt ends when its replacement is accepted.
-    return false;
+    return {.mayEnd = false};
+}
+
+Millis Exchange::silenceLeft(Millis silence)
+{
+    Millis probeTime = context_.options.connectTimeout;
+    if (silence >= context_.options.maxSoundPause)
+        return Millis(0);
+    if (!silenceProbe_) {
+        silenceProbe_ = ConnectionProbe::start(context_.io, attempt_->endpoint(), probeTime,
+            [self = shared_from_this()](ProbeResult result) { self->silenceProbeResult_ = result; });
+        return probeTime;
+    }
+    // The probe's timer may expire just after the one that asks here.
+    if (!silenceProbeResult_)
+        return Millis(1);
+    return *silenceProbeResult_ == ProbeResult::Connected ? context_.options.maxSoundPause - silence
+                                                          : Millis(0);
+}
+
+void Exchange::endSilenceProbe()
+{
+    if (silenceProbe_)
+        silenceProbe_->cancel();
+    silenceProbe_.reset();
+    silenceProbeResult_.reset();
 }
 
 bool Exchange::mayEndSilentPrefill()
--- a/ragwortwinch/forward/prefill_step.h
+++ b/ragwortwinch/forward/prefill_step.h
@@ -35,7 +35,7 @@
 
 private:
     bool cancelIfUnwanted() override { return cancelIfUnwanted_(); }
-    bool mayEndSilent() override { return mayEndSilent_(); }
+    SilenceDecision onSilence(Millis) override { return {.mayEnd = mayEndSilent_()}; }
     void onReplyHead(int status, std::string_view reason, const HttpFields& fields) override;
     void onReplyBody(std::string chunk) override;
     void onAttemptEnd(AttemptEnd end) override;
--- a/testing/forward/fake_endpoint.h
+++ b/testing/forward/fake_endpoint.h
@@ -52,6 +52,9 @@
             thread.join();
     }
 
+    // Refuses further connections; those that are open go on.
+    void stopListening() { shutdown(listener_, SHUT_RDWR); }
+
     std::uint16_t port() const { return port_; }
     std::vector<std::string> requests() const
     {
