Split forward/ into placement/, forward/ and caller/

forward/ had more than 6,000 lines, and most further work would have met there. placement/ decides which endpoint takes a request and whether it is sent again, without sockets; forward/ has the exchange, its attempts and connections to endpoints; caller/ has the connections of callers and the server. Includes go from caller to forward to placement.

Moves only: no line of logic changed.

--- a/ragwortwinch/forward/caller_session.cc
+++ b/ragwortwinch/caller/caller_session.cc
@@ -1,9 +1,9 @@
-#include "ragwortwinch/forward/caller_session.h"
+#include "ragwortwinch/caller/caller_session.h"
 
 #include "ragwortwinch/base/log_event.h"
-#include "ragwortwinch/forward/internal/http_status.h"
-#include "ragwortwinch/forward/internal/local_reply.h"
-#include "ragwortwinch/forward/internal/socket_options.h"
+#include "ragwortwinch/forward/http_status.h"
+#include "ragwortwinch/forward/local_reply.h"
+#include "ragwortwinch/forward/socket_options.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -18,11 +18,6 @@
 
 namespace {
 
-using internal::statusBadRequest;
-using internal::statusHeaderTooLarge;
-using internal::statusRequestTimeout;
-using internal::statusTooLarge;
-using internal::statusUnavailable;
 // Enough for the largest allowed body over a slow link.
 constexpr Millis bodyTimeout{10000};
 // Limit on what is read behind a request while it runs: enough for a small request, and little for each of
@@ -53,7 +48,7 @@
 void CallerSession::start()
 {
     // As long as the operators let a caller wait between requests.
-    internal::setCallerOptions(socket_, limits().idleTimeout);
+    setCallerOptions(socket_, limits().idleTimeout);
     waitForRequest();
 }
 
@@ -262,7 +257,7 @@
     request->body = std::move(message.body());
     request->fields = std::move(static_cast<HttpFields&>(message.base()));
     request->caller = context_.codec.decodeRequest(request->fields);
-    request->unreadFor = internal::timeSinceInput(socket_);
+    request->unreadFor = timeSinceInput(socket_);
     mustClose_ = !request->wantsKeepAlive;
     request_ = std::move(request);
     watch();
@@ -371,9 +366,9 @@
     mustClose_ = true;
     isInputRejected_ = true;
     armTimer(Millis(0), nullptr);
-    std::string head = internal::localReplyHead(
-        status, status == statusUnavailable ? context_.options.retryAfter : Millis(0));
-    std::string body = internal::errorBody(kind, message);
+    std::string head
+        = localReplyHead(status, status == statusUnavailable ? context_.options.retryAfter : Millis(0));
+    std::string body = errorBody(kind, message);
     sendWhole(std::move(head), std::move(body), false);
 }
 
--- a/ragwortwinch/forward/caller_session_end.cc
+++ b/ragwortwinch/caller/caller_session_end.cc
@@ -1,8 +1,8 @@
 // The end of a caller's connection.
-#include "ragwortwinch/forward/caller_session.h"
+#include "ragwortwinch/caller/caller_session.h"
 
 #include "ragwortwinch/base/log_event.h"
-#include "ragwortwinch/forward/internal/socket_options.h"
+#include "ragwortwinch/forward/socket_options.h"
 
 #include <array>
 #include <sys/socket.h>
@@ -25,7 +25,7 @@
 
 void CallerSession::abort()
 {
-    internal::resetSocket(socket_);
+    resetSocket(socket_);
     close(ConnectionEnd::Aborted);
 }
 
@@ -63,7 +63,7 @@
         close(ConnectionEnd::IdleAtStop);
 }
 
-bool CallerSession::isCallerUnreachable() { return isWriting_ && internal::isUnreachable(socket_); }
+bool CallerSession::isCallerUnreachable() { return isWriting_ && isUnreachable(socket_); }
 
 void CallerSession::endUnreachable() { cancelAndClose(ConnectionEnd::WriteFailed); }
 
@@ -97,7 +97,7 @@
         .with("input", unansweredInputNames.name(input))
         .with("last_request", request_ ? request_->caller.id : std::string())
         .with("dropped_bytes", droppedBytes_)
-        .with("since_input_ms", internal::timeSinceInput(socket_).count())
+        .with("since_input_ms", timeSinceInput(socket_).count())
         .with("announced", mustClose_)
         .with("stopping", owner_.isDraining())
         .with("lag_ms", context_.lag.recentLag(now).count());
--- a/ragwortwinch/forward/forward_server.cc
+++ b/ragwortwinch/caller/forward_server.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/forward_server.h"
+#include "ragwortwinch/caller/forward_server.h"
 
 #include "ragwortwinch/base/log_event.h"
 
--- a/ragwortwinch/forward/forward_server.h
+++ b/ragwortwinch/caller/forward_server.h
@@ -12,8 +12,8 @@
 #pragma once
 
 #include "ragwortwinch/base/result.h"
+#include "ragwortwinch/caller/caller_session.h"
 #include "ragwortwinch/config/socket_address.h"
-#include "ragwortwinch/forward/caller_session.h"
 #include "ragwortwinch/forward/forward_context.h"
 
 #include <atomic>
--- a/ragwortwinch/forward/silent_endpoint_test.cc
+++ b/ragwortwinch/caller/silent_endpoint_test.cc
@@ -1,6 +1,6 @@
 // Sound endpoints that fall silent for a while and go on, through a ForwardServer: no request ends sooner for
 // it. Endpoints that stay silent are replaced where another one takes the request.
-#include "ragwortwinch/forward/retry_decision.h"
+#include "ragwortwinch/placement/retry_decision.h"
 #include "testing/forward/forward_fixture.h"
 #include "testing/forward/wait_for.h"
 
--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -1,7 +1,7 @@
 #include "ragwortwinch/forward/attempt.h"
 
 #include "ragwortwinch/base/log_event.h"
-#include "ragwortwinch/forward/internal/http_status.h"
+#include "ragwortwinch/forward/http_status.h"
 
 #include <array>
 #include <boost/asio/write.hpp>
@@ -14,8 +14,6 @@
 
 namespace {
 
-using internal::statusMisdirected;
-using internal::statusUnavailable;
 constexpr std::uint32_t maxReplyHeaderBytes = 64 * 1024;
 static_assert(maxReplyHeaderBytes < EndpointChannel::maxUnparsedBytes);
 // A connection with more stale replies than this is closed.
@@ -145,7 +143,7 @@
 
 std::string Attempt::foreignReplyProblem(int status) const
 {
-    if (!options_.needsSignature || !internal::isSuccess(status))
+    if (!options_.needsSignature || !isSuccess(status))
         return {};
     if (!reply_.isSigned)
         return "the success lacks the endpoint's signature";
--- a/ragwortwinch/forward/connection_probe.h
+++ b/ragwortwinch/forward/connection_probe.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "ragwortwinch/base/time.h"
-#include "ragwortwinch/forward/upstream_endpoint.h"
+#include "ragwortwinch/placement/upstream_endpoint.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
--- a/ragwortwinch/forward/crash_detector.h
+++ b/ragwortwinch/forward/crash_detector.h
@@ -12,7 +12,7 @@
 #pragma once
 
 #include "ragwortwinch/forward/request_traits.h"
-#include "ragwortwinch/forward/upstream_endpoint.h"
+#include "ragwortwinch/placement/upstream_endpoint.h"
 #include "ragwortwinch/quarantine/endpoint_crash.h"
 
 #include <boost/asio/io_context.hpp>
--- a/ragwortwinch/forward/decisions_test.cc
+++ b/ragwortwinch/forward/decisions_test.cc
@@ -1,10 +1,10 @@
 // Tests of the forwarding path's decisions that need no network.
-#include "ragwortwinch/forward/endpoint_chooser.h"
-#include "ragwortwinch/forward/engine_chooser.h"
 #include "ragwortwinch/forward/event_stream.h"
-#include "ragwortwinch/forward/outcome_tracker.h"
 #include "ragwortwinch/forward/request_log.h"
-#include "ragwortwinch/forward/windowed_retry_budget.h"
+#include "ragwortwinch/placement/endpoint_chooser.h"
+#include "ragwortwinch/placement/engine_chooser.h"
+#include "ragwortwinch/placement/outcome_tracker.h"
+#include "ragwortwinch/placement/windowed_retry_budget.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
--- a/ragwortwinch/forward/endpoint_channel.cc
+++ b/ragwortwinch/forward/endpoint_channel.cc
@@ -1,6 +1,6 @@
 #include "ragwortwinch/forward/endpoint_channel.h"
 
-#include "ragwortwinch/forward/internal/socket_options.h"
+#include "ragwortwinch/forward/socket_options.h"
 
 #include <sys/socket.h>
 
@@ -15,7 +15,7 @@
 
 EndpointChannel::~EndpointChannel() { --endpoint_->openChannels; }
 
-void EndpointChannel::configure() { internal::setEndpointOptions(socket_); }
+void EndpointChannel::configure() { setEndpointOptions(socket_); }
 
 bool EndpointChannel::isIdleAndOpen()
 {
@@ -26,6 +26,6 @@
     return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-void EndpointChannel::reset() { internal::resetSocket(socket_); }
+void EndpointChannel::reset() { resetSocket(socket_); }
 
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/endpoint_channel.h
+++ b/ragwortwinch/forward/endpoint_channel.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "ragwortwinch/base/time.h"
-#include "ragwortwinch/forward/upstream_endpoint.h"
+#include "ragwortwinch/placement/upstream_endpoint.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
--- a/ragwortwinch/forward/endpoint_directory.h
+++ b/ragwortwinch/forward/endpoint_directory.h
@@ -7,7 +7,7 @@
 // forwarding thread.
 #pragma once
 
-#include "ragwortwinch/forward/upstream_endpoint.h"
+#include "ragwortwinch/placement/upstream_endpoint.h"
 
 #include <cstdint>
 #include <deque>
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -1,6 +1,6 @@
 #include "ragwortwinch/forward/exchange.h"
 
-#include "ragwortwinch/forward/internal/http_status.h"
+#include "ragwortwinch/forward/http_status.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -9,12 +9,6 @@
 
 namespace {
 
-using internal::statusBadGateway;
-using internal::statusBadRequest;
-using internal::statusGatewayTimeout;
-using internal::statusNotFound;
-using internal::statusUnauthorized;
-
 // Engines accept priorities from 0 to this; 0 is the most urgent.
 constexpr int lowestPriority = 9;
 // Puts prompts that will be late behind those that can be on time, even ones up to four levels less urgent.
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -12,7 +12,6 @@
 #include "ragwortwinch/base/error.h"
 #include "ragwortwinch/forward/attempt.h"
 #include "ragwortwinch/forward/connection_probe.h"
-#include "ragwortwinch/forward/engine_chooser.h"
 #include "ragwortwinch/forward/event_stream.h"
 #include "ragwortwinch/forward/forward_context.h"
 #include "ragwortwinch/forward/forward_request.h"
@@ -20,7 +19,8 @@
 #include "ragwortwinch/forward/reply_sink.h"
 #include "ragwortwinch/forward/request_outcome.h"
 #include "ragwortwinch/forward/request_traits.h"
-#include "ragwortwinch/forward/retry_decision.h"
+#include "ragwortwinch/placement/engine_chooser.h"
+#include "ragwortwinch/placement/retry_decision.h"
 
 #include <functional>
 #include <memory>
--- a/ragwortwinch/forward/exchange_end.cc
+++ b/ragwortwinch/forward/exchange_end.cc
@@ -2,18 +2,11 @@
 #include "ragwortwinch/forward/exchange.h"
 
 #include "ragwortwinch/base/log_event.h"
-#include "ragwortwinch/forward/internal/http_status.h"
-#include "ragwortwinch/forward/internal/local_reply.h"
+#include "ragwortwinch/forward/http_status.h"
+#include "ragwortwinch/forward/local_reply.h"
 
 namespace ragwortwinch {
 
-namespace {
-
-using internal::isServerError;
-using internal::statusUnavailable;
-
-} // namespace
-
 void Exchange::finishWhole(int status, std::string head, std::string body)
 {
     context_.metrics.onFirstByte(route_->name, context_.clock.now() - startedAt_);
@@ -42,9 +35,9 @@
 void Exchange::sendLocalReply(int status, ErrorKind kind, const std::string& message, Millis retryAfter)
 {
     localReplyMessage_ = message;
-    std::string head = internal::localReplyHead(status, retryAfter);
+    std::string head = localReplyHead(status, retryAfter);
     context_.codec.appendLocalReply(head, request_->caller.id);
-    sink_->sendWhole(std::move(head), internal::errorBody(kind, message), request_->method == "HEAD");
+    sink_->sendWhole(std::move(head), errorBody(kind, message), request_->method == "HEAD");
 }
 
 bool Exchange::cancelIfUnwanted()
--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -2,22 +2,14 @@
 #include "ragwortwinch/forward/exchange.h"
 
 #include "ragwortwinch/base/log_event.h"
-#include "ragwortwinch/forward/internal/http_status.h"
-#include "ragwortwinch/forward/internal/local_reply.h"
-#include "ragwortwinch/forward/prompt_parts.h"
+#include "ragwortwinch/forward/http_status.h"
+#include "ragwortwinch/forward/local_reply.h"
+#include "ragwortwinch/placement/prompt_parts.h"
 
 #include <fmt/format.h>
 
 namespace ragwortwinch {
 
-namespace {
-
-using internal::isServerError;
-using internal::statusBadGateway;
-using internal::statusOk;
-
-} // namespace
-
 void Exchange::onReplyHead(int status, std::string_view reason, const HttpFields& fields)
 {
     countUsage();
@@ -29,7 +21,7 @@
     // A resumed stream keeps the header from its first endpoint.
     if (isStreamStarted_)
         return;
-    replyHead_ = internal::relayedHead(status, reason, fields);
+    replyHead_ = relayedHead(status, reason, fields);
 }
 
 void Exchange::onReplyBody(std::string chunk)
--- a/ragwortwinch/forward/exchange_silence.cc
+++ b/ragwortwinch/forward/exchange_silence.cc
@@ -7,7 +7,7 @@
 #include "ragwortwinch/forward/exchange.h"
 
 #include "ragwortwinch/base/log_event.h"
-#include "ragwortwinch/forward/internal/http_status.h"
+#include "ragwortwinch/forward/http_status.h"
 
 namespace ragwortwinch {
 
--- a/ragwortwinch/forward/forward_options.h
+++ b/ragwortwinch/forward/forward_options.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "ragwortwinch/base/time.h"
-#include "ragwortwinch/forward/windowed_retry_budget.h"
+#include "ragwortwinch/placement/windowed_retry_budget.h"
 
 #include <string>
 
@@ -23,8 +23,9 @@
     int firstByteTimeoutMultiple = 3;
     // Gap timeout inside a stream that can be resumed, as a multiple of the route's target gap.
     int gapTimeoutMultiple = 5;
-    // How long the endpoint of a stream that has begun may pause while it accepts connections. Sound endpoints
-    // pause for a second or so, and callers leave a stream after a gap of 2 s; a replacement needs the rest.
+    // How long the endpoint of a stream that has begun may pause while it accepts connections. Sound
+    // endpoints pause for a second or so, and callers leave a stream after a gap of 2 s; a replacement needs
+    // the rest.
     Millis maxSoundPause{1400};
     // How long a silent attempt is kept while another endpoint, to which the request was sent, may still
     // refuse it. No resumed stream may run at two endpoints for 400 ms; the rest is for delays in this VM and
--- a/ragwortwinch/forward/internal/http_status.h
+++ b/ragwortwinch/forward/http_status.h
@@ -1,7 +1,7 @@
 // HTTP status codes that the forwarding path sends or checks.
 #pragma once
 
-namespace ragwortwinch::internal {
+namespace ragwortwinch {
 
 inline constexpr int statusOk = 200;
 inline constexpr int statusBadRequest = 400;
@@ -19,4 +19,4 @@
 inline bool isSuccess(int status) { return status / 100 == 2; }
 inline bool isServerError(int status) { return status >= statusServerError; }
 
-} // namespace ragwortwinch::internal
+} // namespace ragwortwinch
--- a/ragwortwinch/forward/internal/local_reply.cc
+++ b/ragwortwinch/forward/local_reply.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/internal/local_reply.h"
+#include "ragwortwinch/forward/local_reply.h"
 
 #include "ragwortwinch/base/json.h"
 #include "ragwortwinch/forward/request_codec.h"
@@ -6,7 +6,7 @@
 #include <boost/beast/http/status.hpp>
 #include <fmt/format.h>
 
-namespace ragwortwinch::internal {
+namespace ragwortwinch {
 
 std::string relayedHead(int status, std::string_view reason, const HttpFields& fields)
 {
@@ -41,4 +41,4 @@
     return body.dump();
 }
 
-} // namespace ragwortwinch::internal
+} // namespace ragwortwinch
--- a/ragwortwinch/forward/internal/local_reply.h
+++ b/ragwortwinch/forward/local_reply.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace ragwortwinch::internal {
+namespace ragwortwinch {
 
 // Returns the status line and the fields of an endpoint's reply, without connection fields.
 std::string relayedHead(int status, std::string_view reason, const HttpFields& fields);
@@ -18,4 +18,4 @@
 
 std::string errorBody(ErrorKind kind, const std::string& message);
 
-} // namespace ragwortwinch::internal
+} // namespace ragwortwinch
--- a/ragwortwinch/forward/prefill_step.cc
+++ b/ragwortwinch/forward/prefill_step.cc
@@ -1,13 +1,12 @@
 #include "ragwortwinch/forward/prefill_step.h"
 
 #include "ragwortwinch/base/log_event.h"
-#include "ragwortwinch/forward/internal/http_status.h"
+#include "ragwortwinch/forward/http_status.h"
 
 namespace ragwortwinch {
 
 namespace {
 
-using internal::statusOk;
 // Limit on the body of a prefill reply, which has only a few fields.
 constexpr std::size_t maxReplyBytes = 64 * 1024;
 
--- a/ragwortwinch/forward/request_codec.h
+++ b/ragwortwinch/forward/request_codec.h
@@ -8,6 +8,7 @@
 
 #include "ragwortwinch/base/time.h"
 #include "ragwortwinch/net/http_fields.h"
+#include "ragwortwinch/placement/prompt_parts.h"
 
 #include <cstdint>
 #include <optional>
@@ -17,12 +18,6 @@
 
 namespace ragwortwinch {
 
-// A consecutive part of a prompt. Requests may share leading parts.
-struct PromptPart {
-    std::uint64_t id = 0;
-    std::int64_t tokens = 0;
-};
-
 // The decoded header of a caller's request.
 struct CallerRequest {
     // Identifies one try by the caller; the system's own retries keep it. Empty if the caller sent none.
--- a/ragwortwinch/forward/request_traits.cc
+++ b/ragwortwinch/forward/request_traits.cc
@@ -1,7 +1,7 @@
 #include "ragwortwinch/forward/request_traits.h"
 
 #include "ragwortwinch/base/digest.h"
-#include "ragwortwinch/forward/prompt_parts.h"
+#include "ragwortwinch/placement/prompt_parts.h"
 
 namespace ragwortwinch {
 
--- a/ragwortwinch/forward/internal/socket_options.cc
+++ b/ragwortwinch/forward/socket_options.cc
@@ -1,11 +1,11 @@
-#include "ragwortwinch/forward/internal/socket_options.h"
+#include "ragwortwinch/forward/socket_options.h"
 
 #include <algorithm>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-namespace ragwortwinch::internal {
+namespace ragwortwinch {
 
 namespace {
 
@@ -76,4 +76,4 @@
     socket.close(ignored);
 }
 
-} // namespace ragwortwinch::internal
+} // namespace ragwortwinch
--- a/ragwortwinch/forward/internal/socket_options.h
+++ b/ragwortwinch/forward/socket_options.h
@@ -5,7 +5,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-namespace ragwortwinch::internal {
+namespace ragwortwinch {
 
 // Sets TCP_NODELAY, and timeouts after which a connection to an endpoint fails that doesn't acknowledge or
 // read.
@@ -26,4 +26,4 @@
 // tell.
 Millis timeSinceInput(boost::asio::ip::tcp::socket&);
 
-} // namespace ragwortwinch::internal
+} // namespace ragwortwinch
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -12,7 +12,7 @@
 #pragma once
 
 #include "ragwortwinch/config/gateway_settings.h"
-#include "ragwortwinch/forward/forward_server.h"
+#include "ragwortwinch/caller/forward_server.h"
 #include "ragwortwinch/membership/cluster_clock.h"
 #include "ragwortwinch/membership/peer_heartbeat.h"
 #include "ragwortwinch/membership/peer_links.h"
--- a/ragwortwinch/forward/endpoint_chooser.cc
+++ b/ragwortwinch/placement/endpoint_chooser.cc
@@ -1,6 +1,6 @@
-#include "ragwortwinch/forward/endpoint_chooser.h"
+#include "ragwortwinch/placement/endpoint_chooser.h"
 
-#include "ragwortwinch/forward/internal/rendezvous.h"
+#include "ragwortwinch/placement/internal/rendezvous.h"
 
 #include <algorithm>
 #include <limits>
--- a/ragwortwinch/forward/endpoint_chooser.h
+++ b/ragwortwinch/placement/endpoint_chooser.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "ragwortwinch/base/time.h"
-#include "ragwortwinch/forward/upstream_endpoint.h"
+#include "ragwortwinch/placement/upstream_endpoint.h"
 
 #include <cstdint>
 #include <optional>
--- a/ragwortwinch/forward/endpoint_limit.cc
+++ b/ragwortwinch/placement/endpoint_limit.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/endpoint_limit.h"
+#include "ragwortwinch/placement/endpoint_limit.h"
 
 #include "ragwortwinch/base/rendezvous_rank.h"
 
--- a/ragwortwinch/forward/endpoint_limit_test.cc
+++ b/ragwortwinch/placement/endpoint_limit_test.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/endpoint_limit.h"
+#include "ragwortwinch/placement/endpoint_limit.h"
 
 #include "testing/protocol/virtual_time.h"
 
--- a/ragwortwinch/forward/endpoint_notices.cc
+++ b/ragwortwinch/placement/endpoint_notices.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/endpoint_notices.h"
+#include "ragwortwinch/placement/endpoint_notices.h"
 
 #include <algorithm>
 
--- a/ragwortwinch/forward/engine_chooser.h
+++ b/ragwortwinch/placement/engine_chooser.h
@@ -12,9 +12,9 @@
 #pragma once
 
 #include "ragwortwinch/base/time.h"
-#include "ragwortwinch/forward/endpoint_chooser.h"
-#include "ragwortwinch/forward/request_codec.h"
-#include "ragwortwinch/forward/upstream_endpoint.h"
+#include "ragwortwinch/placement/endpoint_chooser.h"
+#include "ragwortwinch/placement/prompt_parts.h"
+#include "ragwortwinch/placement/upstream_endpoint.h"
 
 #include <cstdint>
 #include <optional>
--- a/ragwortwinch/forward/engine_load.cc
+++ b/ragwortwinch/placement/engine_load.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/engine_load.h"
+#include "ragwortwinch/placement/engine_load.h"
 
 #include <algorithm>
 
--- a/ragwortwinch/forward/internal/rendezvous.cc
+++ b/ragwortwinch/placement/internal/rendezvous.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/internal/rendezvous.h"
+#include "ragwortwinch/placement/internal/rendezvous.h"
 
 #include <functional>
 
--- a/ragwortwinch/forward/outcome_tracker.cc
+++ b/ragwortwinch/placement/outcome_tracker.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/outcome_tracker.h"
+#include "ragwortwinch/placement/outcome_tracker.h"
 
 #include <algorithm>
 
--- a/ragwortwinch/forward/prompt_cache_model.cc
+++ b/ragwortwinch/placement/prompt_cache_model.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/prompt_cache_model.h"
+#include "ragwortwinch/placement/prompt_cache_model.h"
 
 namespace ragwortwinch {
 
--- a/ragwortwinch/forward/prompt_cache_model.h
+++ b/ragwortwinch/placement/prompt_cache_model.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "ragwortwinch/base/time.h"
-#include "ragwortwinch/forward/request_codec.h"
+#include "ragwortwinch/placement/prompt_parts.h"
 
 #include <cstdint>
 #include <list>
--- a/ragwortwinch/forward/prompt_parts.cc
+++ b/ragwortwinch/placement/prompt_parts.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/prompt_parts.h"
+#include "ragwortwinch/placement/prompt_parts.h"
 
 #include <fmt/format.h>
 #include <fmt/ranges.h>
--- a/ragwortwinch/forward/retry_decision.cc
+++ b/ragwortwinch/placement/retry_decision.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/retry_decision.h"
+#include "ragwortwinch/placement/retry_decision.h"
 
 namespace ragwortwinch {
 
--- a/ragwortwinch/forward/upstream_endpoint.h
+++ b/ragwortwinch/placement/upstream_endpoint.h
@@ -3,11 +3,11 @@
 // Confined to the forwarding thread.
 #pragma once
 
-#include "ragwortwinch/forward/endpoint_limit.h"
-#include "ragwortwinch/forward/endpoint_notices.h"
-#include "ragwortwinch/forward/engine_load.h"
-#include "ragwortwinch/forward/outcome_tracker.h"
-#include "ragwortwinch/forward/prompt_cache_model.h"
+#include "ragwortwinch/placement/endpoint_limit.h"
+#include "ragwortwinch/placement/endpoint_notices.h"
+#include "ragwortwinch/placement/engine_load.h"
+#include "ragwortwinch/placement/outcome_tracker.h"
+#include "ragwortwinch/placement/prompt_cache_model.h"
 #include "ragwortwinch/routing/endpoint_record.h"
 
 #include <boost/asio/ip/tcp.hpp>
--- a/ragwortwinch/forward/windowed_retry_budget.cc
+++ b/ragwortwinch/placement/windowed_retry_budget.cc
@@ -1,4 +1,4 @@
-#include "ragwortwinch/forward/windowed_retry_budget.h"
+#include "ragwortwinch/placement/windowed_retry_budget.h"
 
 #include <algorithm>
 
--- a/testing/forward/forward_fixture.h
+++ b/testing/forward/forward_fixture.h
@@ -7,7 +7,7 @@
 //     caller.send(ForwardFixture::request("/safe/x", "id-1"));
 #pragma once
 
-#include "ragwortwinch/forward/forward_server.h"
+#include "ragwortwinch/caller/forward_server.h"
 #include "testing/forward/fake_codec.h"
 #include "testing/forward/fake_endpoint.h"
 
