Answer 502 when an endpoint refuses without stating "not run"

Callers of requests that must not run twice got an endpoint's 503, 429 or 408 unchanged, although only the field for "not executed" states that the request has not run.

Cause: Exchange::onReplyComplete relayed every complete reply with its status. To callers, these statuses promise that the request has not run and never will.

For routes whose requests may not be repeated, such a reply is now answered with 502 by the VM. Requests that may run again are relayed as before.

--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -186,6 +186,15 @@
             return;
         body = std::move(fallbackReply_->body);
     }
+    // Callers would repeat the request, which may run twice then. Endpoints that have not run a request say
+    // so in a field of the reply, and the attempt ends as NotExecuted.
+    if (promisesNotRun(replyStatus_) && !route_->mayRetry()) {
+        fail(statusBadGateway, RequestOutcome::Failed, ErrorKind::OutcomeUnknown,
+            fmt::format(
+                "the endpoint answered {} without stating that the request was not run; it may have run",
+                replyStatus_));
+        return;
+    }
     finishWhole(replyStatus_, replyHead_, std::move(body));
 }
 
--- a/ragwortwinch/forward/http_status.h
+++ b/ragwortwinch/forward/http_status.h
@@ -10,6 +10,7 @@
 inline constexpr int statusRequestTimeout = 408;
 inline constexpr int statusTooLarge = 413;
 inline constexpr int statusMisdirected = 421;
+inline constexpr int statusTooManyRequests = 429;
 inline constexpr int statusHeaderTooLarge = 431;
 inline constexpr int statusServerError = 500;
 inline constexpr int statusBadGateway = 502;
@@ -18,5 +19,11 @@
 
 inline bool isSuccess(int status) { return status / 100 == 2; }
 inline bool isServerError(int status) { return status >= statusServerError; }
+// Whether the status promises a caller that the request has not run and never will.
+inline bool promisesNotRun(int status)
+{
+    return status == statusRequestTimeout || status == statusMisdirected || status == statusTooManyRequests
+        || status == statusUnavailable;
+}
 
 } // namespace ragwortwinch
