--- a/ragwortwinch/config/traffic_config.h
+++ b/ragwortwinch/config/traffic_config.h
@@ -110,12 +110,36 @@
     Millis idleTimeout{15000};
 };
 
+// What a team's limit counts.
+enum class LimitUnit {
+    Requests,
+    // Prompt tokens and maximum output tokens.
+    Tokens,
+};
+
+inline constexpr NameTable<LimitUnit, 2> limitUnitNames{{{
+    {LimitUnit::Requests, "requests"},
+    {LimitUnit::Tokens, "tokens"},
+}}};
+
+// What a team may use over all VMs together.
+struct TeamLimit {
+    double perSecond = 0;
+    double burst = 0;
+    LimitUnit unit = LimitUnit::Requests;
+    // Cost of a request that names no numbers of tokens.
+    double plainCost = 0;
+
+    bool operator==(const TeamLimit&) const = default;
+};
+
 struct TrafficTeam {
     std::string name;
     // In plain text; `TrafficTable` keeps only their hashes.
     std::vector<std::string> keys;
     // Overrides the route's priority.
     std::optional<int> priority;
+    std::optional<TeamLimit> limit{};
 };
 
 struct TrafficConfig {
