Refuse requests over a team's limit with 429 and count demand of all VMs

The limits of teams in the configuration had no effect. They are decoded, charged once in Exchange::admit, refunded when a request was not run, and reported to the peers in a section of the news; settings, metrics, status and log lines show them. Without limits in the configuration nothing is refused and no section is sent.

--- a/ragwortwinch/allowance/team_allowance.cc
+++ b/ragwortwinch/allowance/team_allowance.cc
@@ -33,6 +33,8 @@
 constexpr Millis expiryInterval{500};
 constexpr Millis spentStep{50};
 constexpr Millis minRetryAfter{20};
+// A team without refusals for this long is within its limit again.
+constexpr Millis spellEnd{5000};
 
 double seconds(Millis time) { return static_cast<double>(time.count()) / 1000; }
 
@@ -69,11 +71,12 @@
     if (bucket.level > full) {
         bucket.withheld += bucket.level - full;
         bucket.level = full;
-    } else if (bucket.withheld > 0) {
-        double returned = std::min(bucket.withheld, full - bucket.level);
-        bucket.level += returned;
+    } else if (part > bucket.heardPart) {
+        double returned = bucket.withheld * (part - bucket.heardPart) / (1 - bucket.heardPart);
         bucket.withheld -= returned;
+        bucket.level += returned;
     }
+    bucket.heardPart = part;
     bucket.level = std::min(full, bucket.level + bucket.limit.perSecond * part * elapsed);
 }
 
@@ -229,17 +232,23 @@
     Bucket& bucket = found->second;
     fill(bucket, now);
     decayDemand(bucket, now);
-    bucket.demand += cost / demandSeconds;
+    // A request that exceeds the limit for good must not raise this VM's share.
+    bool canFit = cost <= capacity(bucket.limit) + margin(bucket.limit) * oversizePart;
+    if (canFit)
+        bucket.demand += cost / demandSeconds;
     bucket.askedAt = now;
     Millis wait = waitFor(bucket, cost, now);
     if (wait.count() > 0) {
+        if (!bucket.overLimitSince)
+            bucket.overLimitSince = now;
+        bucket.refusedAt = now;
+        bucket.refusedCost += cost;
         totals_.refusedCost += cost;
         ++totals_.refusedRequests;
         if (wait < Millis::max())
             return {false, wait};
         // This VM lacks contact with its peers, or the request exceeds the limit for good.
-        bool fitsInContact = cost <= capacity(bucket.limit) + margin(bucket.limit) * oversizePart;
-        return {false, fitsInContact ? silenceLimit : Millis(0)};
+        return {false, canFit ? silenceLimit : Millis(0)};
     }
     take(bucket, cost);
     bucket.admitted += cost;
@@ -262,8 +271,7 @@
     fill(bucket, now);
     bucket.level = std::min(capacity(bucket.limit) * heardPart(now), bucket.level + cost);
     bucket.admitted -= cost;
-    totals_.admittedCost -= cost;
-    --totals_.admittedRequests;
+    totals_.refundedCost += cost;
 }
 
 std::vector<TeamDemand> TeamAllowance::takeReports(Instant now)
@@ -300,6 +308,10 @@
             spent = static_cast<double>(report.admitted - use.admitted);
         else if (!isYoung)
             spent = static_cast<double>(report.admitted);
+        else
+            // Most of a long count is in the reported level. What the peer has admitted in the last second
+            // may not be in the levels that other peers report.
+            spent = static_cast<double>(std::min(report.admitted, report.perSecond));
         // While the peer wasn't heard, its part of the limit was left to it.
         Millis silence = use.isKnown ? silenceSince(index, use.at, now) : Millis(0);
         if (isSameCount && spent > 0 && vms_ > 0)
@@ -330,15 +342,39 @@
     return totals;
 }
 
-std::vector<AllowanceStatus> TeamAllowance::status(Instant now, std::size_t most)
+AllowanceStatus TeamAllowance::statusOf(const std::string& team, Bucket& bucket, Instant now) const
 {
-    std::vector<AllowanceStatus> teams;
+    fill(bucket, now);
+    decayDemand(bucket, now);
+    return {team, bucket.limit.perSecond, bucket.limit.burst, bucket.limit.unit, bucket.demand,
+        bucket.peerDemand, bucket.level, share(bucket) * refillRate(bucket, now)};
+}
+
+std::vector<OverLimitSpell> TeamAllowance::takeSpells(Instant now)
+{
+    std::vector<OverLimitSpell> spells;
     for (auto& [team, bucket] : buckets_) {
-        fill(bucket, now);
-        decayDemand(bucket, now);
-        teams.push_back({team, bucket.limit.perSecond, bucket.limit.burst, bucket.limit.unit, bucket.demand,
-            bucket.peerDemand, bucket.level, share(bucket) * refillRate(bucket, now)});
+        if (!bucket.overLimitSince)
+            continue;
+        bool hasEnded = now - bucket.refusedAt >= spellEnd;
+        if (bucket.isSpellTold && !hasEnded)
+            continue;
+        spells.push_back({statusOf(team, bucket, now), bucket.refusedCost,
+            bucket.refusedAt - *bucket.overLimitSince, hasEnded});
+        bucket.isSpellTold = !hasEnded;
+        if (hasEnded) {
+            bucket.overLimitSince.reset();
+            bucket.refusedCost = 0;
+        }
     }
+    return spells;
+}
+
+std::vector<AllowanceStatus> TeamAllowance::status(Instant now, std::size_t most)
+{
+    std::vector<AllowanceStatus> teams;
+    for (auto& [team, bucket] : buckets_)
+        teams.push_back(statusOf(team, bucket, now));
     auto isBusier = [](const AllowanceStatus& left, const AllowanceStatus& right) {
         double leftDemand = left.ownDemand + left.peerDemand;
         double rightDemand = right.ownDemand + right.peerDemand;
--- a/ragwortwinch/allowance/team_allowance.h
+++ b/ragwortwinch/allowance/team_allowance.h
@@ -25,6 +25,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -63,6 +64,7 @@
 
 struct AllowanceTotals {
     double admittedCost = 0;
+    double refundedCost = 0;
     double refusedCost = 0;
     std::uint64_t admittedRequests = 0;
     std::uint64_t refusedRequests = 0;
@@ -83,6 +85,14 @@
     double allocation = 0;
 };
 
+// A time in which requests of a team were refused, when it begins and when it has ended.
+struct OverLimitSpell {
+    AllowanceStatus status;
+    double refusedCost = 0;
+    Millis duration{0};
+    bool hasEnded = false;
+};
+
 class TeamAllowance {
 public:
     TeamAllowance(const QuotaRule& rule, Instant startedAt)
@@ -107,6 +117,8 @@
         const std::string& peer, std::uint64_t incarnation, const std::vector<TeamDemand>&, Instant now);
 
     AllowanceTotals totals() const;
+    // Returns the spells that have begun or ended since the last call.
+    std::vector<OverLimitSpell> takeSpells(Instant now);
     // Returns the teams with the greatest demand, at most `most`.
     std::vector<AllowanceStatus> status(Instant now, std::size_t most);
 
@@ -138,8 +150,10 @@
     struct Bucket {
         TeamLimit limit;
         double level = 0;
-        // What was taken out while the capacity was reduced for lack of contact.
+        // What was taken out when the capacity was reduced for lack of contact; comes back with the contact.
         double withheld = 0;
+        // The part of the limit that the bucket was last filled for.
+        double heardPart = 0;
         Instant filledAt;
         std::int64_t countedSince = 0;
         double admitted = 0;
@@ -148,11 +162,17 @@
         Instant demandAt;
         Instant askedAt;
         std::array<Spent, 8> spent{};
+        // Set from the first refusal until none has come for some time.
+        std::optional<Instant> overLimitSince;
+        bool isSpellTold = false;
+        Instant refusedAt;
+        double refusedCost = 0;
         // By index of the peer.
         std::vector<PeerUse> peers;
         double peerDemand = 0;
     };
 
+    AllowanceStatus statusOf(const std::string& team, Bucket& bucket, Instant now) const;
     double margin(const TeamLimit& limit) const;
     double capacity(const TeamLimit& limit) const;
     // The part of the limit that this VM and the peers that it hears may use.
--- a/ragwortwinch/caller/forward_server.cc
+++ b/ragwortwinch/caller/forward_server.cc
@@ -16,6 +16,7 @@
 constexpr Millis acceptPause{50};
 // Limit on connections accepted in one event, so that requests in progress don't wait long for them.
 constexpr std::size_t maxAcceptsPerEvent = 64;
+constexpr Millis allowanceCheckInterval{1000};
 
 } // namespace
 
@@ -26,8 +27,9 @@
     , metrics_(metrics)
     , chooser_(std::move(chooser))
     , endpoints_(static_cast<std::uint32_t>(std::hash<std::string>()(options.vm)))
+    , allowance_(options.quotaRule, clock.now())
     , context_{io_, codec, clock, options, traffic, usage, std::move(clusterUnixMillis), endpoints_,
-          *chooser_, metrics, log_}
+          *chooser_, metrics, log_, allowance_}
     , acceptor_(io_)
     , sweepTimer_(io_)
     , acceptTimer_(io_)
@@ -154,6 +156,7 @@
 void ForwardServer::sweep()
 {
     checkLag();
+    checkAllowance();
     std::vector<UpstreamPointer> endpoints = endpoints_.all();
     context_.pool.sweep(endpoints, context_.clock.now());
     std::map<std::string, EndpointWork> work;
@@ -198,6 +201,25 @@
     recentLagMillis_.store(context_.lag.recentLag(now).count());
 }
 
+void ForwardServer::checkAllowance()
+{
+    Instant now = context_.clock.now();
+    if (now < nextAllowanceCheck_)
+        return;
+    nextAllowanceCheck_ = now + allowanceCheckInterval;
+    metrics_.setAllowance(allowance_.locked()->totals());
+    for (const OverLimitSpell& spell : allowance_.locked()->takeSpells(now))
+        LogEvent(spell.hasEnded ? "team.within_limit" : "team.over_limit")
+            .with("team", spell.status.team)
+            .with("limit_per_s", spell.status.perSecond)
+            .with("burst", spell.status.burst)
+            .with("asked_per_s_here", spell.status.ownDemand)
+            .with("asked_per_s_at_peers", spell.status.peerDemand)
+            .with("allocation_per_s", spell.status.allocation)
+            .with("refused_cost", spell.refusedCost)
+            .with("ms", spell.duration.count());
+}
+
 void ForwardServer::updateLimitParts(const std::vector<UpstreamPointer>& endpoints)
 {
     Instant now = context_.clock.now();
--- a/ragwortwinch/caller/forward_server.h
+++ b/ragwortwinch/caller/forward_server.h
@@ -61,6 +61,8 @@
     void setPeerLimits(std::vector<EndpointLimitReport> reports);
     // Returns the request limits that this VM has read in endpoints' replies; updated every 100 ms.
     std::vector<EndpointLimitReport> limits() const;
+    // The limits of teams. Thread-safe.
+    LockedTeamAllowance& allowance() { return allowance_; }
     // Sets who receives crashes of endpoints, on the forwarding thread. Call it before `run`.
     void setCrashListener(CrashListener* listener) { context_.crashes.setListener(listener); }
     // Sets the prompt parts in quarantine, and those of which answers are reported to the listener.
@@ -103,6 +105,8 @@
     void scheduleSweep();
     void sweep();
     void checkLag();
+    // Updates the metrics and writes the log lines on teams that are over their limit.
+    void checkAllowance();
     // Computes the parts of request limits that have changed.
     void updateLimitParts(const std::vector<UpstreamPointer>& endpoints);
 
@@ -112,6 +116,8 @@
     std::unique_ptr<EndpointChooser> chooser_;
     EndpointDirectory endpoints_;
     RequestLog log_;
+    LockedTeamAllowance allowance_;
+    Instant nextAllowanceCheck_;
     ForwardContext context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer sweepTimer_;
--- a/ragwortwinch/config/gateway_settings.cc
+++ b/ragwortwinch/config/gateway_settings.cc
@@ -46,6 +46,9 @@
     settings.retryRatio = reader.decimal("repeat_ratio", settings.retryRatio, 0, 10);
     settings.retryWindow = readSeconds(reader, "repeat_window_s", settings.retryWindow);
     settings.retrySlack = reader.decimal("repeat_slack", settings.retrySlack, 0, 1000000);
+    settings.quotaWindow = readSeconds(reader, "quota_window_s", settings.quotaWindow);
+    settings.quotaOvershoot = reader.decimal("quota_overshoot", settings.quotaOvershoot, 0, 10);
+    settings.quotaSlack = reader.decimal("quota_slack", settings.quotaSlack, 0, 1e12);
     settings.linkMbps = reader.decimal("link_mbps", settings.linkMbps, 0, 1000000);
     settings.processorCores = reader.decimal("processor_share", 1, 0, 1000)
         * reader.decimal("processor_speed", settings.processorCores, 0, 1000);
--- a/ragwortwinch/config/gateway_settings.h
+++ b/ragwortwinch/config/gateway_settings.h
@@ -53,6 +53,11 @@
     double retryRatio = 0.2;
     Millis retryWindow{10000};
     double retrySlack = 50;
+    // Within `quotaWindow`, a team's requests may exceed what its limit allows by the fraction
+    // `quotaOvershoot` and by `quotaSlack`, over all VMs together.
+    Millis quotaWindow{8000};
+    double quotaOvershoot = 0;
+    double quotaSlack = 0;
     // What this VM has: bandwidth of its link in megabits a second, and processor time in cores of the speed
     // that is common to all VMs. Callers are shared out by them; 0 if unknown.
     double linkMbps = 0;
--- a/ragwortwinch/ctl/commands.cc
+++ b/ragwortwinch/ctl/commands.cc
@@ -109,6 +109,16 @@
             stringMember(endpoint, "name"), stringMember(endpoint, "service"),
             stringMember(endpoint, "availability_zone"), integerMember(endpoint, "running"),
             booleanMember(endpoint, "usable"), booleanMember(endpoint, "leaving"));
+    if (auto limits = status.find("team_limits"); limits != status.end()) {
+        auto figure = [](const Json& team, const char* name) { return team.at(name).get<double>(); };
+        for (const Json& team : *limits)
+            std::cout << fmt::format(
+                "team={} unit={} limit_per_s={:.0f} burst={:.0f} asked_per_s_here={:.0f} "
+                "asked_per_s_at_peers={:.0f} left={:.0f} allocation_per_s={:.0f}\n",
+                stringMember(team, "team"), stringMember(team, "unit"), figure(team, "limit_per_s"),
+                figure(team, "burst"), figure(team, "asked_per_s_here"), figure(team, "asked_per_s_at_peers"),
+                figure(team, "left"), figure(team, "allocation_per_s"));
+    }
     for (const Json& duty : status.at("duties")) {
         if (booleanMember(duty, "held"))
             std::cout << fmt::format("duty={} epoch={} quiet_period_over={}\n", stringMember(duty, "duty"),
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -91,12 +91,38 @@
         refuse(ErrorKind::Draining, "this VM is stopping; the request was not run, use another VM");
         return false;
     }
+    if (!admitByLimit())
+        return false;
     traits_ = RequestTraits(*request_);
     chooseService();
     context_.retryBudgetOf(service_).onRequest(startedAt_);
     return true;
 }
 
+bool Exchange::admitByLimit()
+{
+    if (!team_ || !team_->limit)
+        return true;
+    const TeamLimit& limit = *team_->limit;
+    double cost = 1;
+    if (limit.unit == LimitUnit::Tokens)
+        cost = request_->caller.hasTokenCounts
+            ? static_cast<double>(request_->caller.promptTokens + request_->caller.maxOutputTokens)
+            : limit.plainCost;
+    AdmissionDecision decision = context_.allowance.locked()->admit(team_->name, cost, startedAt_);
+    if (decision.isAdmitted) {
+        charged_ = cost;
+        return true;
+    }
+    sendLocalReply(statusTooManyRequests, ErrorKind::OverLimit,
+        fmt::format("the team is over its limit of {:.0f} {} a second and a burst of {:.0f}, and the request "
+                    "costs {:.0f}; it was not run",
+            limit.perSecond, limitUnitNames.name(limit.unit), limit.burst, cost),
+        decision.retryAfter);
+    finish(RequestOutcome::Refused, statusTooManyRequests);
+    return false;
+}
+
 void Exchange::chooseService()
 {
     const std::vector<ServiceShare>& shares = route_->services;
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -70,6 +70,8 @@
     // Whether an endpoint may have run the request, or still run it.
     bool mayRunOrHaveRun() const;
     Millis timeLeft() const;
+    // Charges the request to its team's limit, or ends the exchange if it doesn't fit.
+    bool admitByLimit();
     void chooseService();
     // Ends the exchange if it or a part of its prompt is in quarantine; returns whether it did.
     bool endIfQuarantined();
@@ -137,6 +139,8 @@
     void fail(int status, RequestOutcome outcome, ErrorKind kind, const std::string& message);
     void sendLocalReply(int status, ErrorKind kind, const std::string& message, Millis retryAfter);
     void finish(RequestOutcome outcome, int status);
+    // Gives back the cost of a request that has certainly not run.
+    void refundIfNotRun(RequestOutcome outcome);
     // Removes the prompt from the engine's estimated prefill queue.
     void settlePendingPrompt(bool wasPrefilled);
     void countUsage();
@@ -149,6 +153,8 @@
     std::shared_ptr<const TrafficTable> traffic_;
     const TrafficRoute* route_ = nullptr;
     const TrafficTeam* team_ = nullptr;
+    // What the request was charged to its team's limit.
+    std::optional<double> charged_;
     std::string service_;
     std::shared_ptr<const std::string> body_;
     RequestTraits traits_;
--- a/ragwortwinch/forward/exchange_end.cc
+++ b/ragwortwinch/forward/exchange_end.cc
@@ -64,6 +64,7 @@
     if (isDone_)
         return;
     isDone_ = true;
+    refundIfNotRun(outcome);
     deadlineTimer_.cancel();
     if (attempt_)
         attempt_->cancel();
@@ -84,6 +85,15 @@
         onDone();
 }
 
+void Exchange::refundIfNotRun(RequestOutcome outcome)
+{
+    bool isNotRun = outcome == RequestOutcome::Refused
+        || (outcome == RequestOutcome::CallerGone && !mayRunOrHaveRun() && !hasStartedPrefill_);
+    if (charged_ && isNotRun)
+        context_.allowance.locked()->refund(team_->name, *charged_, context_.clock.now());
+    charged_.reset();
+}
+
 void Exchange::countUsage()
 {
     if (isUsageCounted_ || !team_)
--- a/ragwortwinch/forward/forward_context.h
+++ b/ragwortwinch/forward/forward_context.h
@@ -1,6 +1,7 @@
 // State that all requests of one VM share on the forwarding path. Confined to the forwarding thread.
 #pragma once
 
+#include "ragwortwinch/allowance/locked_team_allowance.h"
 #include "ragwortwinch/base/snapshot.h"
 #include "ragwortwinch/config/traffic_table.h"
 #include "ragwortwinch/forward/channel_pool.h"
@@ -52,6 +53,7 @@
     EndpointChooser& chooser;
     ForwardMetrics& metrics;
     RequestLog& log;
+    LockedTeamAllowance& allowance;
     ChannelPool pool{};
     // Of each service.
     RetryBudgetOptions retryBudget = options.retryBudget;
--- a/ragwortwinch/forward/forward_metrics.cc
+++ b/ragwortwinch/forward/forward_metrics.cc
@@ -46,6 +46,24 @@
           "From the whole request to the answer's end"))
     , firstBytes_(histogram(registry, "ragwortwinch_first_byte_milliseconds",
           "From the whole request to the answer's first byte"))
+    , admittedCost_(counter(registry, "ragwortwinch_team_limit_admitted_cost_total",
+          "Cost of admitted requests of teams with a limit")
+                        .Add({}))
+    , refundedCost_(counter(registry, "ragwortwinch_team_limit_refunded_cost_total",
+          "Cost of admitted requests of teams with a limit that were not run")
+                        .Add({}))
+    , refusedCost_(counter(registry, "ragwortwinch_team_limit_refused_cost_total",
+          "Cost of requests refused because their team was over its limit")
+                       .Add({}))
+    , admittedRequests_(counter(registry, "ragwortwinch_team_limit_admitted_requests_total",
+          "Admitted requests of teams with a limit")
+                            .Add({}))
+    , refusedRequests_(counter(registry, "ragwortwinch_team_limit_refused_requests_total",
+          "Requests refused because their team was over its limit")
+                           .Add({}))
+    , limitedTeams_(gauge(registry, "ragwortwinch_limited_teams", "Teams with a limit"))
+    , allocation_(gauge(registry, "ragwortwinch_team_limit_allocation",
+          "This VM's shares of the limits of all teams, in cost a second"))
     , sessions_(gauge(registry, "ragwortwinch_caller_connections", "Open connections of callers"))
     , bufferedBytes_(gauge(registry, "ragwortwinch_held_bytes", "Requests and answers held in memory"))
     , lag_(gauge(registry, "ragwortwinch_forwarding_lag_milliseconds",
@@ -95,6 +113,18 @@
     readTooLate_.Add({{"route", route}}).Increment();
 }
 
+void ForwardMetrics::setAllowance(const AllowanceTotals& totals)
+{
+    admittedCost_.Increment(totals.admittedCost - allowance_.admittedCost);
+    refundedCost_.Increment(totals.refundedCost - allowance_.refundedCost);
+    refusedCost_.Increment(totals.refusedCost - allowance_.refusedCost);
+    admittedRequests_.Increment(static_cast<double>(totals.admittedRequests - allowance_.admittedRequests));
+    refusedRequests_.Increment(static_cast<double>(totals.refusedRequests - allowance_.refusedRequests));
+    limitedTeams_.Set(static_cast<double>(totals.limitedTeams));
+    allocation_.Set(totals.allocation);
+    allowance_ = totals;
+}
+
 void ForwardMetrics::onRetryBudgetEmpty(const std::string& service)
 {
     exhaustedRetryBudgets_.Add({{"service", service}}).Increment();
--- a/ragwortwinch/forward/forward_metrics.h
+++ b/ragwortwinch/forward/forward_metrics.h
@@ -6,6 +6,7 @@
 // Thread-safe.
 #pragma once
 
+#include "ragwortwinch/allowance/team_allowance.h"
 #include "ragwortwinch/base/time.h"
 #include "ragwortwinch/forward/attempt.h"
 #include "ragwortwinch/forward/connection_end.h"
@@ -41,6 +42,8 @@
     void onReadTooLate(const std::string& route);
     void onConnectionEnd(ConnectionEnd end, UnansweredInput input);
     void setSessions(std::size_t count) { sessions_.Set(static_cast<double>(count)); }
+    // Takes what was counted since the process started.
+    void setAllowance(const AllowanceTotals& totals);
     void setBufferedBytes(std::size_t bytes) { bufferedBytes_.Set(static_cast<double>(bytes)); }
 
 private:
@@ -54,6 +57,14 @@
     prometheus::Family<prometheus::Counter>& connectionEnds_;
     prometheus::Family<prometheus::Histogram>& durations_;
     prometheus::Family<prometheus::Histogram>& firstBytes_;
+    prometheus::Counter& admittedCost_;
+    prometheus::Counter& refundedCost_;
+    prometheus::Counter& refusedCost_;
+    prometheus::Counter& admittedRequests_;
+    prometheus::Counter& refusedRequests_;
+    prometheus::Gauge& limitedTeams_;
+    prometheus::Gauge& allocation_;
+    AllowanceTotals allowance_;
     prometheus::Gauge& sessions_;
     prometheus::Gauge& bufferedBytes_;
     prometheus::Gauge& lag_;
--- a/ragwortwinch/forward/forward_options.h
+++ b/ragwortwinch/forward/forward_options.h
@@ -1,6 +1,7 @@
 // Settings of the forwarding path.
 #pragma once
 
+#include "ragwortwinch/allowance/team_allowance.h"
 #include "ragwortwinch/base/time.h"
 #include "ragwortwinch/placement/windowed_retry_budget.h"
 
@@ -15,6 +16,8 @@
     std::string region;
     // This VM's share of the retries that all VMs together may send.
     RetryBudgetOptions retryBudget;
+    // What the limits of teams allow over all VMs together.
+    QuotaRule quotaRule;
     // A connect takes one round trip, 25 ms between regions; this allows for twelve before another
     // endpoint is tried.
     Millis connectTimeout{300};
--- a/ragwortwinch/forward/http_status.h
+++ b/ragwortwinch/forward/http_status.h
@@ -10,6 +10,7 @@
 inline constexpr int statusRequestTimeout = 408;
 inline constexpr int statusTooLarge = 413;
 inline constexpr int statusMisdirected = 421;
+inline constexpr int statusTooManyRequests = 429;
 inline constexpr int statusHeaderTooLarge = 431;
 inline constexpr int statusServerError = 500;
 inline constexpr int statusBadGateway = 502;
--- a/ragwortwinch/forward/request_codec.h
+++ b/ragwortwinch/forward/request_codec.h
@@ -30,6 +30,8 @@
     std::string lastEventId;
     // In order. The last part is specific to the request or its session; the others may be shared.
     std::vector<PromptPart> promptParts;
+    // Whether the caller has named the numbers of tokens.
+    bool hasTokenCounts = false;
     std::int64_t promptTokens = 0;
     std::int64_t maxOutputTokens = 0;
 };
--- a/ragwortwinch/forward/request_outcome.h
+++ b/ragwortwinch/forward/request_outcome.h
@@ -10,7 +10,7 @@
     Answered,
     // The endpoint's 5xx reply was delivered.
     EndpointError,
-    // Not run: no configuration, no endpoint, no capacity, or the VM is stopping.
+    // Not run: no configuration, no endpoint, no capacity, over the team's limit, or the VM is stopping.
     Refused,
     // Invalid: no route, no valid key, malformed, too large, or too slow to arrive. Also if there is no
     // memory for its body.
--- a/ragwortwinch/membership/peer_heartbeat.cc
+++ b/ragwortwinch/membership/peer_heartbeat.cc
@@ -20,6 +20,7 @@
     Limits = 2,
     Usage = 3,
     StoreEra = 4,
+    TeamDemands = 5,
 };
 
 // The bit of heartbeats and news in the announced capabilities.
@@ -85,6 +86,34 @@
     return limits;
 }
 
+ByteWriter writeDemands(const std::vector<PeerTeamDemand>& demands)
+{
+    ByteWriter writer;
+    for (const PeerTeamDemand& demand : demands) {
+        writer.text(demand.team);
+        writer.count(demand.countedSince);
+        writer.count(demand.admitted);
+        writer.count(demand.perSecond);
+        writer.integer(demand.level);
+    }
+    return writer;
+}
+
+std::vector<PeerTeamDemand> readDemands(ByteReader& reader)
+{
+    std::vector<PeerTeamDemand> demands;
+    while (!reader.isAtEnd()) {
+        PeerTeamDemand demand;
+        demand.team = reader.text();
+        demand.countedSince = reader.count();
+        demand.admitted = reader.count();
+        demand.perSecond = reader.count();
+        demand.level = reader.integer<std::int64_t>();
+        demands.push_back(std::move(demand));
+    }
+    return demands;
+}
+
 StoreEraNews readStoreEra(ByteReader& reader)
 {
     StoreEraNews news;
@@ -144,6 +173,8 @@
         era.text(news.storeEra->usageProgress);
         appendSection(writer, NewsSection::StoreEra, era);
     }
+    if (!news.demands.empty())
+        appendSection(writer, NewsSection::TeamDemands, writeDemands(news.demands));
     return encodeFrame(PeerMessageKind::News, writer.bytes());
 }
 
@@ -172,6 +203,9 @@
         case NewsSection::StoreEra:
             news.storeEra = readStoreEra(content);
             break;
+        case NewsSection::TeamDemands:
+            news.demands = readDemands(content);
+            break;
         }
         if (!content.isValid())
             return std::nullopt;
--- a/ragwortwinch/membership/peer_heartbeat.h
+++ b/ragwortwinch/membership/peer_heartbeat.h
@@ -44,6 +44,17 @@
     bool operator==(const StoreEraNews&) const = default;
 };
 
+// A team's use of its limit at the sender; see TeamDemand of allowance/.
+struct PeerTeamDemand {
+    std::string team;
+    std::int64_t countedSince = 0;
+    std::int64_t admitted = 0;
+    std::int64_t perSecond = 0;
+    std::int64_t level = 0;
+
+    bool operator==(const PeerTeamDemand&) const = default;
+};
+
 // What has changed since the sender's former news.
 struct PeerNews {
     // All of the sender's load, if any of it has changed.
@@ -53,8 +64,10 @@
     // Usage totals that have grown, encoded by usage/; may be empty.
     std::string usage;
     std::optional<StoreEraNews> storeEra;
+    // Teams with a limit and recent demand, in all news while there are any.
+    std::vector<PeerTeamDemand> demands;
 
-    bool isEmpty() const { return !loads && limits.empty() && usage.empty() && !storeEra; }
+    bool isEmpty() const { return !loads && limits.empty() && usage.empty() && !storeEra && demands.empty(); }
 };
 
 // Return whole frames.
--- a/ragwortwinch/node/gateway_limits.cc
+++ b/ragwortwinch/node/gateway_limits.cc
@@ -1,4 +1,5 @@
-// Limits that all VMs share, in gateway mode: the retry budget, and the request limits of endpoints.
+// Limits that all VMs share, in gateway mode: the retry budget, the limits of teams, and the request limits
+// of endpoints.
 #include "ragwortwinch/base/log_event.h"
 #include "ragwortwinch/node/gateway_node.h"
 
@@ -36,6 +37,55 @@
     forward_->setRetrySlack(part);
 }
 
+void GatewayNode::tickAllowance(Instant now)
+{
+    // A VM that has neither the store's list nor a peer doesn't know how many share the limits.
+    std::size_t peers = livePeers(now).size();
+    if (!hasVmList_ && peers == 0)
+        return;
+    allowanceVms_.onVmCount(now, hasVmList_ ? limitSharingVms_.size() : peers + 1);
+    std::size_t vms = allowanceVms_.vmCount();
+    forward_->allowance().locked()->setVmCount(vms, now);
+    if (limitedTeams_ == 0 || vms == toldAllowanceVms_)
+        return;
+    toldAllowanceVms_ = vms;
+    LogEvent("team_limits.vms_changed").with("vms", vms).with("teams", limitedTeams_);
+}
+
+void GatewayNode::setTeamLimits(Instant now, const std::vector<TrafficTeam>& teams)
+{
+    std::map<std::string, TeamLimit> limits;
+    for (const TrafficTeam& team : teams) {
+        if (team.limit)
+            limits.emplace(team.name, *team.limit);
+    }
+    if (limits.size() != limitedTeams_)
+        LogEvent("team_limits.adopted").with("teams", limits.size()).with("previous", limitedTeams_);
+    limitedTeams_ = limits.size();
+    forward_->allowance().locked()->setTeams(limits, now);
+}
+
+std::vector<PeerTeamDemand> GatewayNode::ownDemands(Instant now)
+{
+    std::vector<PeerTeamDemand> demands;
+    if (limitedTeams_ == 0)
+        return demands;
+    for (TeamDemand& demand : forward_->allowance().locked()->takeReports(now))
+        demands.push_back(
+            {std::move(demand.team), demand.countedSince, demand.admitted, demand.perSecond, demand.level});
+    return demands;
+}
+
+void GatewayNode::setPeerDemands(Instant now, const std::string& peer, std::uint64_t incarnation,
+    const std::vector<PeerTeamDemand>& demands)
+{
+    std::vector<TeamDemand> reports;
+    for (const PeerTeamDemand& demand : demands)
+        reports.push_back(
+            {demand.team, demand.countedSince, demand.admitted, demand.perSecond, demand.level});
+    forward_->allowance().locked()->onReports(peer, incarnation, reports, now);
+}
+
 std::vector<PeerLimit> GatewayNode::peerLimits(Instant now) const
 {
     std::vector<PeerLimit> limits;
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -13,6 +13,9 @@
 
 constexpr Millis tickInterval{50};
 constexpr int missedHeartbeatLimit = 10;
+// The part of a team's limit that belongs to a VM which is no longer known stays unused for this long: in
+// this time, a VM that lives but has lost contact limits itself.
+constexpr Millis allowanceContactTime{4000};
 // The store deletes a VM's entry if its process doesn't renew it for this long.
 constexpr Millis registrationTtl{9000};
 // Heartbeats carry newer usage to the peers between flushes; the store keeps the usage of ended VMs.
@@ -59,6 +62,7 @@
                          .Add({}))
     , vms_(settings_.node, settings_.heartbeatInterval * missedHeartbeatLimit)
     , retrySlack_(settings_.retrySlack, settings_.retryWindow, clock_.now())
+    , allowanceVms_(1, allowanceContactTime, clock_.now())
     , links_(context_, settings_.node, settings_.peerAddress, settings_.heartbeatInterval, *this)
     , quarantine_(settings_.node, opIds_)
     , flusher_(settings_.node, std::to_string(incarnation_), opIds_, usageFlushInterval,
@@ -89,6 +93,7 @@
     options.availabilityZone = settings_.availabilityZone;
     options.region = settings_.region;
     options.retryBudget = {settings_.retryRatio, settings_.retryWindow, /*slack=*/0};
+    options.quotaRule = {settings_.quotaWindow, settings_.quotaOvershoot, settings_.quotaSlack};
     return options;
 }
 
@@ -165,6 +170,7 @@
     peerLoad_.expire(now);
     updatePeerLoad(now);
     tickRetryBudget(now);
+    tickAllowance(now);
     tickQuarantine(now);
     tickUsage(now);
     duties_->tick(now, clusterClock_.unixMillis(now), dutyCandidates(now));
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -11,8 +11,8 @@
 // and operators' ports.
 #pragma once
 
-#include "ragwortwinch/config/gateway_settings.h"
 #include "ragwortwinch/caller/forward_server.h"
+#include "ragwortwinch/config/gateway_settings.h"
 #include "ragwortwinch/membership/cluster_clock.h"
 #include "ragwortwinch/membership/peer_heartbeat.h"
 #include "ragwortwinch/membership/peer_links.h"
@@ -98,6 +98,13 @@
     // Applies request limits of endpoints from a peer's digest.
     void setPeerLimits(Instant now, const std::vector<PeerLimit>& limits);
     void tickRetryBudget(Instant now);
+    // Passes the number of VMs on to the limits of teams.
+    void tickAllowance(Instant now);
+    std::vector<PeerTeamDemand> ownDemands(Instant now);
+    void setPeerDemands(Instant now, const std::string& peer, std::uint64_t incarnation,
+        const std::vector<PeerTeamDemand>& demands);
+    // Installs the limits of teams of a new configuration.
+    void setTeamLimits(Instant now, const std::vector<TrafficTeam>& teams);
     void tickQuarantine(Instant now);
     void onQuarantineNews(const std::string& peer, const std::string& payload);
     // Tells a peer that has connected or restarted everything that it may have missed.
@@ -113,6 +120,7 @@
     // Returns the state that the operators' command line shows; field names are those of a node outside
     // gateway mode.
     Json status(Instant now) const;
+    Json teamLimits(Instant now) const;
     Json dump(Instant now) const;
 
     GatewaySettings settings_;
@@ -152,6 +160,11 @@
     bool hasVmList_ = false;
     SharedLimit retrySlack_;
     double retrySlackPart_ = 0;
+    // Only its number of VMs is used.
+    SharedLimit allowanceVms_;
+    std::size_t limitedTeams_ = 0;
+    // The number of VMs in the last log line on it.
+    std::size_t toldAllowanceVms_ = 0;
     // The VMs that the forwarding thread knows, for request limits.
     std::set<std::string> limitSharingVms_;
     std::unique_ptr<VmRegistration> registration_;
--- a/ragwortwinch/node/gateway_peers.cc
+++ b/ragwortwinch/node/gateway_peers.cc
@@ -117,6 +117,7 @@
         toldStoreEra_ = era;
         news.storeEra = std::move(era);
     }
+    news.demands = ownDemands(now);
     return news;
 }
 
@@ -138,6 +139,7 @@
 {
     Instant now = clock_.now();
     vms_.onHeartbeat(now, digest.sender);
+    forward_->allowance().locked()->onHeard(peer, now);
     if (digest.storeEra)
         onPeerStoreNews(
             now, peer, StoreEraNews{*digest.storeEra, digest.eraSeenAtUnixMillis, digest.usageProgress});
@@ -158,6 +160,7 @@
 void GatewayNode::onHeartbeat(Instant now, const std::string& peer, const PeerHeartbeat& heartbeat)
 {
     vms_.onHeartbeat(now, peer, heartbeat);
+    forward_->allowance().locked()->onHeard(peer, now);
     peerLoad_.refresh(now, peer);
     onPeerState(now, peer, heartbeat.unixMillis, heartbeat.isStoreDown, heartbeat.configVersion);
 }
@@ -173,7 +176,11 @@
     if (news.storeEra)
         onPeerStoreNews(now, peer, news.storeEra);
     auto known = vms_.entries().find(peer);
-    if (news.usage.empty() || known == vms_.entries().end())
+    if (known == vms_.entries().end())
+        return;
+    if (!news.demands.empty())
+        setPeerDemands(now, peer, known->second.info.incarnation, news.demands);
+    if (news.usage.empty())
         return;
     if (std::optional<WindowUsage> totals = decodeTotals(news.usage))
         duties_->addDirectTotals(usageKey(peer, std::to_string(known->second.info.incarnation)), *totals);
--- a/ragwortwinch/node/gateway_status.cc
+++ b/ragwortwinch/node/gateway_status.cc
@@ -5,6 +5,23 @@
 
 namespace ragwortwinch {
 
+namespace {
+
+constexpr std::size_t maxShownTeamLimits = 100;
+
+} // namespace
+
+Json GatewayNode::teamLimits(Instant now) const
+{
+    Json teams = Json::array();
+    for (const AllowanceStatus& team : forward_->allowance().locked()->status(now, maxShownTeamLimits))
+        teams.push_back({{"team", team.team}, {"unit", limitUnitNames.name(team.unit)},
+            {"limit_per_s", team.perSecond}, {"burst", team.burst}, {"asked_per_s_here", team.ownDemand},
+            {"asked_per_s_at_peers", team.peerDemand}, {"left", team.level},
+            {"allocation_per_s", team.allocation}});
+    return teams;
+}
+
 Json GatewayNode::status(Instant now) const
 {
     Json vms = Json::array();
@@ -32,7 +49,8 @@
         {"retry_slack", retrySlackPart_}, {"retry_slack_vms", retrySlack_.vmCount()},
         {"store_down", follower_.isStoreLost()}, {"store_era", handledEra_.value_or(0)},
         {"proof_age_ms", (now - follower_.confirmedAt()).count()}, {"vms", vms}, {"endpoints", endpoints},
-        {"quarantine", quarantine}, {"duties", Json::array({duties_->dump(now)})}};
+        {"quarantine", quarantine}, {"team_limits", teamLimits(now)},
+        {"duties", Json::array({duties_->dump(now)})}};
 }
 
 Json GatewayNode::dump(Instant now) const
--- a/ragwortwinch/node/gateway_updates.cc
+++ b/ragwortwinch/node/gateway_updates.cc
@@ -178,6 +178,7 @@
     configVersion_ = config->version;
     configText_ = text;
     duties_->setServices(config->services);
+    setTeamLimits(clock_.now(), config->teams);
     std::shared_ptr<const TrafficTable> table = std::make_shared<TrafficTable>(std::move(*config));
     traffic_.replace(std::make_unique<std::shared_ptr<const TrafficTable>>(std::move(table)));
 }
--- a/testing/forward/fake_codec.h
+++ b/testing/forward/fake_codec.h
@@ -24,6 +24,7 @@
         std::string limit = text(fields, "Limit");
         if (!limit.empty())
             request.timeLimit = Millis(std::atoll(limit.c_str()));
+        request.hasTokenCounts = !text(fields, "Tokens").empty();
         request.promptTokens = std::atoll(text(fields, "Tokens").c_str());
         // Hexadecimal ids, separated by spaces.
         std::istringstream parts(text(fields, "Parts"));
