Keep cut-off VMs within a team's limit during an overload

A VM that lost contact kept its whole bucket up to its part of the capacity, although the others kept it too, and small shares let all VMs admit one request at once. It now keeps its part of what is left, and VMs whose share is smaller than a request take turns.

--- a/ragwortwinch/allowance/locked_team_allowance.h
+++ b/ragwortwinch/allowance/locked_team_allowance.h
@@ -1,6 +1,6 @@
 // A `TeamAllowance` for several threads: requests are admitted on one, peers' reports arrive on another.
 //
-//     LockedTeamAllowance allowance(rule, clock.now());
+//     LockedTeamAllowance allowance(rule, "vm1", clock.now());
 //     AdmissionDecision decision = allowance.locked()->admit("t1", 9000, now);
 //
 // Hold the lock for one expression only. Thread-safe.
@@ -28,8 +28,8 @@
         TeamAllowance& allowance_;
     };
 
-    LockedTeamAllowance(const QuotaRule& rule, Instant startedAt)
-        : allowance_(rule, startedAt)
+    LockedTeamAllowance(const QuotaRule& rule, std::string self, Instant startedAt)
+        : allowance_(rule, std::move(self), startedAt)
     {
     }
     Access locked() { return {mutex_, allowance_}; }
--- a/ragwortwinch/allowance/team_allowance.cc
+++ b/ragwortwinch/allowance/team_allowance.cc
@@ -13,9 +13,6 @@
 // A bucket that holds this part of its capacity is open to all. A team that starts to ask for 7.5 times its
 // limit then owes less than the margin of a rule with an overshoot of 0.1 before the peers know it.
 constexpr double openLevel = 0.75;
-// Below, a VM that has admitted nothing of late may admit one request beyond its share if the bucket holds
-// this part, since shares can be smaller than a request.
-constexpr double singleRequestLevel = 0.6;
 // A team may suddenly ask for this many times its limit.
 constexpr double surgeFactor = 8;
 // The part of the margin that a surge may use up before the peers' reports arrive.
@@ -33,6 +30,8 @@
 constexpr Millis expiryInterval{500};
 constexpr Millis spentStep{50};
 constexpr Millis minRetryAfter{20};
+// A VM that rarely has its turn in an overload may have a share again by then.
+constexpr Millis maxTurnWait{5000};
 // A team without refusals for this long is within its limit again.
 constexpr Millis spellEnd{5000};
 
@@ -40,6 +39,16 @@
 
 std::int64_t rounded(double value) { return static_cast<std::int64_t>(std::llround(value)); }
 
+// A number from 0 to 1 that is as good as random, from SplitMix64.
+double turnNumber(std::uint64_t seed, std::uint64_t turn)
+{
+    std::uint64_t mixed = seed + (turn + 1) * 0x9E3779B97F4A7C15U;
+    mixed = (mixed ^ (mixed >> 30)) * 0xBF58476D1CE4E5B9U;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94D049BB133111EBU;
+    mixed ^= mixed >> 31;
+    return static_cast<double>(mixed >> 11) * 0x1.0p-53;
+}
+
 std::int64_t stepOf(Instant at) { return at.time_since_epoch() / spentStep; }
 
 } // namespace
@@ -68,9 +77,11 @@
     double full = capacity(bucket.limit) * part;
     double elapsed = std::max(0.0, seconds(now - bucket.filledAt));
     bucket.filledAt = std::max(bucket.filledAt, now);
-    if (bucket.level > full) {
-        bucket.withheld += bucket.level - full;
-        bucket.level = full;
+    if (part < bucket.heardPart && bucket.level > 0) {
+        // The peers that aren't heard have the same level and may spend their part of it.
+        double kept = bucket.level * part / bucket.heardPart;
+        bucket.withheld += bucket.level - kept;
+        bucket.level = kept;
     } else if (part > bucket.heardPart) {
         double returned = bucket.withheld * (part - bucket.heardPart) / (1 - bucket.heardPart);
         bucket.withheld -= returned;
@@ -106,6 +117,7 @@
             bucket.limit = limit;
             bucket.filledAt = bucket.demandAt = now;
             bucket.countedSince = now.time_since_epoch().count();
+            bucket.turnSeed = std::hash<std::string>()(self_ + '/' + team);
             bucket.askedAt = bucket.demandAt - ownCountTime;
             // Until then, an earlier process may have spent the limit.
             bucket.level = now - startedAt_ >= rule_.window ? capacity(limit) : 0;
@@ -137,6 +149,7 @@
         peer.silenceEnd = now;
     }
     peer.heardAt = now;
+    heardAt_ = now;
 }
 
 Millis TeamAllowance::silenceSince(std::size_t index, Instant reportedAt, Instant now) const
@@ -177,9 +190,10 @@
     }
 }
 
-double TeamAllowance::unseen(const Bucket& bucket, Instant now)
+double TeamAllowance::unseen(const Bucket& bucket, Instant now) const
 {
-    std::int64_t first = stepOf(now - blindTime);
+    // Peers that aren't heard hardly hear this VM.
+    std::int64_t first = stepOf(std::min(now, heardAt_) - blindTime);
     double cost = 0;
     for (const Spent& spent : bucket.spent)
         cost += spent.step >= first ? spent.cost : 0;
@@ -210,18 +224,23 @@
         return Millis::max();
     if (bucket.level < needed)
         return untilLevel(needed);
-    double surge = bucket.limit.perSecond * surgeFactor * seconds(blindTime);
-    if (vms_ <= 1 || surge <= margin(bucket.limit) * surgePart || bucket.level >= full * openLevel)
+    double demand = bucket.demand + bucket.peerDemand;
+    double surge = std::max(demand, bucket.limit.perSecond * surgeFactor) * seconds(blindTime);
+    bool isOpen = surge <= margin(bucket.limit) * surgePart || bucket.level >= full * openLevel;
+    if (vms_ <= 1 || isOpen)
         return Millis(0);
     double spent = unseen(bucket, now);
     if (spent + cost <= share(bucket) * (bucket.level + spent))
         return Millis(0);
-    // All VMs with a request within the blind time may do the same.
-    double demandOfAll = (bucket.demand + bucket.peerDemand) * seconds(blindTime);
-    double single = std::max(needed, std::min(demandOfAll, full * singleRequestLevel));
-    if (spent <= 0)
-        return untilLevel(single);
-    return std::max(minRetryAfter, std::min(untilLevel(full * openLevel), blindTime));
+    if (spent > 0)
+        return std::max(minRetryAfter, blindTime);
+    // All VMs could do the same, as far as they are asked.
+    double all = std::min(demand * seconds(blindTime), cost * static_cast<double>(vms_));
+    double chance = all > 0 ? bucket.level / all : 1;
+    std::int64_t turn = now.time_since_epoch() / blindTime;
+    if (turnNumber(bucket.turnSeed, static_cast<std::uint64_t>(turn)) < chance)
+        return Millis(0);
+    return std::min(maxTurnWait, Millis(rounded(static_cast<double>(blindTime.count()) / chance)));
 }
 
 AdmissionDecision TeamAllowance::admit(std::string_view team, double cost, Instant now)
--- a/ragwortwinch/allowance/team_allowance.h
+++ b/ragwortwinch/allowance/team_allowance.h
@@ -1,6 +1,6 @@
 // Decides on one VM whether a request fits into its team's limit, which all VMs keep together.
 //
-//     TeamAllowance allowance(rule, startedAt);
+//     TeamAllowance allowance(rule, "vm1", startedAt);
 //     allowance.setTeams({{"t1", limit}}, now);
 //     allowance.onHeard("vm2", now);                         // with each heartbeat of a peer
 //     allowance.setVmCount(78, now);
@@ -15,6 +15,7 @@
 //
 // Load: a team that asks for several times its limit at all VMs at once. Between two reports all VMs could
 // spend the same tokens, so a VM whose bucket runs low spends only its share of it, which follows the demand.
+// Where a share is smaller than a request, VMs take turns, as many at once as the bucket holds requests.
 // A VM that doesn't hear some of its peers uses the corresponding part of the limit only; what the peers do
 // with theirs it can't see. Not thread-safe.
 #pragma once
@@ -95,8 +96,9 @@
 
 class TeamAllowance {
 public:
-    TeamAllowance(const QuotaRule& rule, Instant startedAt)
+    TeamAllowance(const QuotaRule& rule, std::string self, Instant startedAt)
         : rule_(rule)
+        , self_(std::move(self))
         , startedAt_(startedAt)
     {
     }
@@ -161,7 +163,9 @@
         double demand = 0;
         Instant demandAt;
         Instant askedAt;
-        std::array<Spent, 8> spent{};
+        std::array<Spent, 16> spent{};
+        // Differs between VMs and teams.
+        std::uint64_t turnSeed = 0;
         // Set from the first refusal until none has come for some time.
         std::optional<Instant> overLimitSince;
         bool isSpellTold = false;
@@ -188,15 +192,19 @@
     std::size_t peerIndex(const std::string& peer, Instant now);
     // How long this VM didn't hear the peer since its last report on a bucket.
     Millis silenceSince(std::size_t peer, Instant reportedAt, Instant now) const;
-    static double unseen(const Bucket& bucket, Instant now);
+    // Returns what this VM has admitted of late and the peers may not know.
+    double unseen(const Bucket& bucket, Instant now) const;
     double share(const Bucket& bucket) const;
     // Returns how long to wait until the bucket lets a request of this cost through; zero: now.
     Millis waitFor(const Bucket& bucket, double cost, Instant now) const;
 
     QuotaRule rule_;
+    std::string self_;
     Instant startedAt_;
     Instant countedAt_;
     std::size_t vms_ = 0;
+    // When the last heartbeat of any peer arrived.
+    Instant heardAt_;
     // Those of which something was heard within `silenceLimit`, with this one.
     std::size_t heard_ = 0;
     std::unordered_map<std::string, Bucket> buckets_;
--- a/ragwortwinch/caller/forward_server.cc
+++ b/ragwortwinch/caller/forward_server.cc
@@ -27,7 +27,7 @@
     , metrics_(metrics)
     , chooser_(std::move(chooser))
     , endpoints_(static_cast<std::uint32_t>(std::hash<std::string>()(options.vm)))
-    , allowance_(options.quotaRule, clock.now())
+    , allowance_(options.quotaRule, options.vm, clock.now())
     , context_{io_, codec, clock, options, traffic, usage, std::move(clusterUnixMillis), endpoints_,
           *chooser_, metrics, log_, allowance_}
     , acceptor_(io_)
