--- a/ragwortwinch/allowance/team_allowance.cc
+++ b/ragwortwinch/allowance/team_allowance.cc
@@ -230,13 +230,15 @@
     if (vms_ <= 1 || isOpen)
         return Millis(0);
     double spent = unseen(bucket, now);
-    if (spent + cost <= share(bucket) * (bucket.level + spent))
+    // What flows in until the peers know of this request may be spent as well.
+    double inflow = rate * seconds(blindTime);
+    if (spent + cost <= share(bucket) * (bucket.level + spent + inflow))
         return Millis(0);
     if (spent > 0)
         return std::max(minRetryAfter, blindTime);
     // All VMs could do the same, as far as they are asked.
     double all = std::min(demand * seconds(blindTime), cost * static_cast<double>(vms_));
-    double chance = all > 0 ? bucket.level / all : 1;
+    double chance = all > 0 ? (bucket.level + inflow) / all : 1;
     std::int64_t turn = now.time_since_epoch() / blindTime;
     if (turnNumber(bucket.turnSeed, static_cast<std::uint64_t>(turn)) < chance)
         return Millis(0);
--- a/ragwortwinch/config/gateway_settings_test.cc
+++ b/ragwortwinch/config/gateway_settings_test.cc
@@ -35,6 +35,19 @@
     CHECK(parse("").first.processorCores == 0);
 }
 
+TEST_CASE("the rule for the limits of teams is read, and allows no excess without its fields")
+{
+    auto [known, problem]
+        = parse(R"("quota_window_s": 8.0, "quota_overshoot": 0.1, "quota_slack": 120000,)");
+    CHECK(problem.empty());
+    CHECK(known.quotaWindow == Millis(8000));
+    CHECK(known.quotaOvershoot == 0.1);
+    CHECK(known.quotaSlack == 120000);
+    CHECK(parse("").first.quotaOvershoot == 0);
+    CHECK(parse("").first.quotaSlack == 0);
+    CHECK(parse(R"("quota_slack": -1,)").second.find("quota_slack") != std::string::npos);
+}
+
 TEST_CASE("an impossible capacity is rejected with the name of its field")
 {
     CHECK(parse(R"("link_mbps": -1,)").second.find("link_mbps") != std::string::npos);
--- a/ragwortwinch/membership/peer_heartbeat_test.cc
+++ b/ragwortwinch/membership/peer_heartbeat_test.cc
@@ -31,6 +31,7 @@
     news.limits = {{"e1", 7, 5.5, 120}, {"e2", 8, -1, 0}};
     news.usage = std::string("\0\1totals", 8);
     news.storeEra = StoreEraNews{3, 1778453290000, R"({"window":12})"};
+    news.demands = {{"t1", 99000, 2244759, 300000, -5000}, {"t2", 0, 1, 0, 29000}};
     return news;
 }
 
@@ -85,6 +86,7 @@
     CHECK(news->limits[1].endpoint == "e2");
     CHECK(news->usage == sampleNews().usage);
     CHECK(news->storeEra == sampleNews().storeEra);
+    CHECK(news->demands == sampleNews().demands);
     CHECK(decodeNews(readOne(encodeNews({})).payload)->isEmpty());
 }
 
