Decide how VMs of a zone share what they read from the store

Cause: each VM watches the store every 500 ms, since the heartbeats of endpoints end every watch at once. 300 VMs make 600 watches a second, and calls are the largest price of the large deployments.

--- a/ragwortwinch/membership/peer_heartbeat.cc
+++ b/ragwortwinch/membership/peer_heartbeat.cc
@@ -22,8 +22,16 @@
     StoreEra = 4,
 };
 
-// The bit of heartbeats and news in the announced capabilities.
+// The bits of the announced capabilities: heartbeats and news, and changes from the store.
 constexpr std::uint32_t heartbeatCapability = 1;
+constexpr std::uint32_t storeNewsCapability = 2;
+
+std::uint32_t readCapabilities(std::string_view payload)
+{
+    ByteReader reader(payload);
+    std::uint32_t capabilities = reader.integer<std::uint32_t>();
+    return reader.isValid() ? capabilities : 0;
+}
 
 void appendSection(ByteWriter& news, NewsSection section, const ByteWriter& content)
 {
@@ -182,15 +190,12 @@
 std::string encodeCapabilities()
 {
     ByteWriter writer;
-    writer.integer(heartbeatCapability);
+    writer.integer(heartbeatCapability | storeNewsCapability);
     return encodeFrame(PeerMessageKind::Capabilities, writer.bytes());
 }
 
-bool decodeCapabilities(std::string_view payload)
-{
-    ByteReader reader(payload);
-    std::uint32_t capabilities = reader.integer<std::uint32_t>();
-    return reader.isValid() && (capabilities & heartbeatCapability);
-}
+bool decodeCapabilities(std::string_view payload) { return readCapabilities(payload) & heartbeatCapability; }
+
+bool announcesStoreNews(std::string_view payload) { return readCapabilities(payload) & storeNewsCapability; }
 
 } // namespace ragwortwinch
--- a/ragwortwinch/membership/peer_heartbeat.h
+++ b/ragwortwinch/membership/peer_heartbeat.h
@@ -60,7 +60,7 @@
 // Return whole frames.
 std::string encodeHeartbeat(const PeerHeartbeat&);
 std::string encodeNews(const PeerNews&);
-// Announces that the sender understands heartbeats and news.
+// Announces that the sender understands heartbeats, news and changes from the store (store_news.h).
 std::string encodeCapabilities();
 
 // The decoders return nothing if the payload is malformed.
@@ -68,5 +68,7 @@
 std::optional<PeerNews> decodeNews(std::string_view payload);
 // Returns whether the peer understands heartbeats and news.
 bool decodeCapabilities(std::string_view payload);
+// Returns whether the peer understands changes from the store.
+bool announcesStoreNews(std::string_view payload);
 
 } // namespace ragwortwinch
--- a/ragwortwinch/membership/peer_links.cc
+++ b/ragwortwinch/membership/peer_links.cc
@@ -93,6 +93,7 @@
 
     // Whether the peer understands the small heartbeats.
     bool takesHeartbeats() const { return takesHeartbeats_; }
+    bool takesStoreNews() const { return takesStoreNews_; }
     bool isDialed() const { return isDialed_; }
     bool isOpen() const { return isOpen_; }
     const std::string& peer() const { return peer_; }
@@ -161,6 +162,7 @@
 
     void onCapabilities(std::string_view payload)
     {
+        takesStoreNews_ = links_.listener_.usesHeartbeats() && announcesStoreNews(payload);
         if (takesHeartbeats_ || !links_.listener_.usesHeartbeats() || !decodeCapabilities(payload))
             return;
         // News that was sent to the others since this connection's first digest.
@@ -194,6 +196,7 @@
     bool isOpen_ = false;
     bool isClosed_ = false;
     bool takesHeartbeats_ = false;
+    bool takesStoreNews_ = false;
     std::array<char, readBufferBytes> buffer_{};
     PeerFrameReader reader_;
     std::deque<std::string> queue_;
@@ -326,6 +329,12 @@
     return true;
 }
 
+bool PeerLinks::takesStoreNews(const std::string& peer) const
+{
+    auto found = byPeer_.find(peer);
+    return found != byPeer_.end() && found->second->takesStoreNews();
+}
+
 std::set<std::string> PeerLinks::connectedPeers() const
 {
     std::set<std::string> peers;
--- a/ragwortwinch/membership/peer_links.h
+++ b/ragwortwinch/membership/peer_links.h
@@ -56,6 +56,8 @@
     // Returns false if there is no connection to the peer.
     bool send(const std::string& peer, const std::string& frame);
     std::set<std::string> connectedPeers() const;
+    // Whether the peer is connected and understands changes from the store (store_news.h).
+    bool takesStoreNews(const std::string& peer) const;
     std::uint64_t bytesSent() const { return bytesSent_; }
     void stop();
 
--- a/ragwortwinch/membership/peer_message.h
+++ b/ragwortwinch/membership/peer_message.h
@@ -27,6 +27,8 @@
     Capabilities = 5,
     Heartbeat = 6,
     News = 7,
+    // See membership/store_news.h. Sent to peers that announce that they understand it.
+    StoreNews = 8,
 };
 
 inline constexpr std::uint8_t peerProtocolVersion = 1;
--- a/ragwortwinch/store/store_follower.cc
+++ b/ragwortwinch/store/store_follower.cc
@@ -60,9 +60,16 @@
         return std::nullopt;
     step_ = Step::Watching;
     nextCall_ = now + options_.minWatchInterval;
+    lastWatchAt_ = now;
     return WatchRequest{++watchId_, watchPrefix_, revision_, options_.wait};
 }
 
+void StoreFollower::watchWithin(Millis interval)
+{
+    if (!isStoreLost_ && hasListed())
+        nextCall_ = std::min(nextCall_, lastWatchAt_ + interval);
+}
+
 void StoreFollower::onStoreRestored(Instant now)
 {
     step_ = Step::List;
--- a/ragwortwinch/store/store_follower.h
+++ b/ragwortwinch/store/store_follower.h
@@ -77,6 +77,10 @@
     void onWatchAnswer(Instant now, std::uint64_t id, const WatchAnswer& answer);
     // The store came back from an older copy, in which revisions so far have no meaning.
     void onStoreRestored(Instant now);
+    // Changes `FollowerOptions::minWatchInterval` from the next watch on.
+    void setMinWatchInterval(Millis interval) { options_.minWatchInterval = interval; }
+    // The next watch is due at the latest this long after the last one, unless the store is lost.
+    void watchWithin(Millis interval);
     // Returns what has happened since the last call, in order.
     std::vector<FollowerUpdate> takeUpdates();
 
@@ -85,6 +89,8 @@
     Instant confirmedAt() const { return confirmedAt_; }
     // The store's revision up to which changes were received.
     std::uint64_t revision() const { return revision_; }
+    // Whether all prefixes have been listed, so that `revision` holds for all of them.
+    bool hasListed() const { return step_ == Step::Watch || step_ == Step::Watching; }
 
 private:
     // `List` and `Watch` are due; `Listing` and `Watching` await an answer.
@@ -106,6 +112,7 @@
     // The next watch returns changes after this revision.
     std::uint64_t revision_ = 0;
     Instant nextCall_;
+    Instant lastWatchAt_;
     Instant confirmedAt_;
     bool isStoreLost_ = false;
     std::vector<FollowerUpdate> updates_;
