Take over unchanged endpoints when the list of endpoints changes

Cause: each change of one endpoint rebuilt the directory of the forwarding thread: 3,000 addresses parsed and 3,000 records copied.

Change: addresses and records are set only where they differ, and the nodes of the map are moved.

Measured (micro benchmark, 3,000 records, none changed): 0.91 ms instead of 1.63 ms for each change.

--- a/ragwortwinch/forward/endpoint_directory.cc
+++ b/ragwortwinch/forward/endpoint_directory.cc
@@ -17,30 +17,37 @@
 void EndpointDirectory::update(
     const std::vector<EndpointRecord>& records, const std::map<std::string, std::string>& regions)
 {
-    std::map<std::pair<std::string, std::int64_t>, UpstreamPointer> next;
+    std::map<Key, UpstreamPointer> next;
     byService_.clear();
     for (const EndpointRecord& record : records) {
-        std::pair<std::string, std::int64_t> key(record.id, record.incarnation);
+        Key key(record.id, record.incarnation);
         auto known = endpoints_.find(key);
-        UpstreamPointer endpoint = known != endpoints_.end() ? known->second : makeEndpoint(key);
-        if (endpoint->record.address != record.address)
+        bool isNew = known == endpoints_.end();
+        UpstreamPointer endpoint = isNew ? makeEndpoint(key) : known->second;
+        bool hasNewAddress = isNew || endpoint->record.address != record.address;
+        if (hasNewAddress) {
             endpoint->isMisdirected = false;
-        bool hasNewRole = known == endpoints_.end() || endpoint->record.role != record.role;
+            boost::system::error_code ignored;
+            endpoint->socketAddress
+                = {boost::asio::ip::make_address(record.address.host, ignored), record.address.port};
+        }
+        bool hasNewRole = isNew || endpoint->record.role != record.role;
         if (hasNewRole)
             endpoint->engineLoad.restart(
                 record.role == EngineRole::Decode ? EngineLoad::decodeSlowness : EngineLoad::prefillSlowness);
-        endpoint->record = record;
+        if (endpoint->record != record)
+            endpoint->record = record;
         auto region = regions.find(record.availabilityZone);
         endpoint->region = region == regions.end() ? std::string() : region->second;
-        boost::system::error_code ignored;
-        endpoint->socketAddress
-            = {boost::asio::ip::make_address(record.address.host, ignored), record.address.port};
-        next[key] = endpoint;
         byService_[record.service].push_back(endpoint);
+        // Records are sorted by id, so that each goes to the end.
+        if (isNew)
+            next.emplace_hint(next.end(), std::move(key), std::move(endpoint));
+        else
+            next.insert(next.end(), endpoints_.extract(known));
     }
+    // What is left isn't registered any more.
     for (const auto& [key, endpoint] : endpoints_) {
-        if (next.contains(key))
-            continue;
         endpoint->isRegistered = false;
         if (endpoint->notices.isLeaving())
             rememberLeaving(key);
