Check a gateway's configuration before it is sent, with path, line and remedy

decodeTrafficConfig rejected a bad document without saying why, and nothing found routes that never match or limits that contradict each other. inspectConfig decodes the document and records each problem; decodeTrafficConfig and the daemon's log use it. checkTraffic and describeChanges work on the decoded configuration. `ragwortwinch check` prints both as text or JSON and compares with a file or with what a VM has in force (/admin/v1/traffic, without keys).

Measured: new sources compile; tests not run yet.

--- a/ragwortwinch/config/traffic_table.cc
+++ b/ragwortwinch/config/traffic_table.cc
@@ -6,8 +6,6 @@
 
 namespace ragwortwinch {
 
-namespace {
-
 std::string normalizedHost(std::string_view host)
 {
     std::string text(host.substr(0, host.find(':')));
@@ -18,8 +16,6 @@
     return text;
 }
 
-} // namespace
-
 TrafficTable::TrafficTable(TrafficConfig config)
     : config_(std::move(config))
 {
--- a/ragwortwinch/config/traffic_table.h
+++ b/ragwortwinch/config/traffic_table.h
@@ -16,6 +16,9 @@
 
 namespace ragwortwinch {
 
+// Returns the host in lower case and without its port, as routes are compared by it.
+std::string normalizedHost(std::string_view host);
+
 class TrafficTable {
 public:
     explicit TrafficTable(TrafficConfig config);
--- a/ragwortwinch/ctl/commands.cc
+++ b/ragwortwinch/ctl/commands.cc
@@ -4,6 +4,7 @@
 #include "ragwortwinch/config/rules_parser.h"
 #include "ragwortwinch/config/settings.h"
 #include "ragwortwinch/ctl/admin_client.h"
+#include "ragwortwinch/ctl/config_check.h"
 #include "ragwortwinch/ctl/key_editor.h"
 #include "ragwortwinch/ctl/line_diff.h"
 
@@ -50,7 +51,17 @@
 Result<int> check(const CommandOptions& options)
 {
     BOOST_LEAF_AUTO(path, requiredArgument(options, 0, "the FILE argument"));
+    std::optional<ReportFormat> format = reportFormatNames.parse(options.format);
+    if (!format)
+        return makeError(
+            ErrorKind::BadRequest, fmt::format("--format must be one of: {}", reportFormatNames.list()));
     BOOST_LEAF_AUTO(text, readFile(path, ErrorKind::BadRules));
+    if (isGatewayConfig(text))
+        return runConfigCheck({path, text, options.against, options.admin, *format}, std::cout);
+    if (!options.against.empty() || *format != ReportFormat::Text)
+        return makeError(ErrorKind::BadRequest,
+            "--against and --format json are for a gateway's configuration; use `ragwortwinch diff` for "
+            "rules");
     BOOST_LEAF_AUTO(rules, parseRules(text));
     std::cout << fmt::format("ok teams={} routes={} endpoints={}\n", rules.teams.size(), rules.routes.size(),
         rules.endpoints.size());
@@ -188,7 +199,8 @@
 };
 
 constexpr std::array<Command, 9> commands{{
-    {"check", "check FILE", "check the rules in FILE; nothing is changed", check},
+    {"check", "check FILE [--against FILE|in-force]",
+        "check the rules or the gateway's configuration in FILE; nothing is changed", check},
     {"fetch", "fetch FILE", "write the rules in force to FILE, and note their version beside it", fetch},
     {"apply", "apply FILE", "bring the rules in FILE into force, if no other change came first", apply},
     {"diff", "diff FILE", "show what FILE would change", diff},
--- a/ragwortwinch/ctl/ragwortwinch_main.cc
+++ b/ragwortwinch/ctl/ragwortwinch_main.cc
@@ -22,7 +22,8 @@
         << "usage: ragwortwinch COMMAND [options]\n\ncommands:\n"
         << ragwortwinch::commandHelp() << '\n'
         << description
-        << "\nexit codes: 0 done, 1 failed, 2 wrong usage, 3 invalid rules, 4 conflict with another change\n";
+        << "\nexit codes: 0 done, 1 failed or findings, 2 wrong usage, 3 invalid rules or unreadable input,\n"
+           "            4 conflict with another change\n";
 }
 
 } // namespace
@@ -34,9 +35,11 @@
     options::options_description visible("options");
     visible.add_options()("help", "show this text")("admin",
         options::value(&given.admin)->default_value(defaultAdmin()),
-        "operators' port of a node; also from RAGWORTWINCH_ADMIN")(
-        "team", options::value(&given.team), "the team that a new key is for")("expected-version",
-        options::value(&given.expectedVersion), "for apply: the version that the file was made from");
+        "operators' port of a node; also from RAGWORTWINCH_ADMIN")("team", options::value(&given.team),
+        "the team that a new key is for")("expected-version", options::value(&given.expectedVersion),
+        "for apply: the version that the file was made from")("against", options::value(&given.against),
+        "for check: a file to compare with, or `in-force` for what the node has")(
+        "format", options::value(&given.format)->default_value(given.format), "for check: `text` or `json`");
     options::options_description all;
     all.add(visible).add_options()("command", options::value(&command))(
         "words", options::value(&given.arguments));
--- a/ragwortwinch/node/gateway_handlers.cc
+++ b/ragwortwinch/node/gateway_handlers.cc
@@ -1,6 +1,7 @@
 #include "ragwortwinch/node/gateway_handlers.h"
 
 #include "platform/address_response.h"
+#include "platform/config_inspection.h"
 #include "ragwortwinch/membership/entry_vm_choice.h"
 
 #include <prometheus/text_serializer.h>
@@ -50,6 +51,15 @@
             platform::addressResponse(repeatByCapacity(chosen, platform::maxAddresses), validity_));
 }
 
+HttpResponse GatewayAdminHandler::trafficResponse() const
+{
+    AdoptedConfig config = *config_.read();
+    if (config.version == 0)
+        return makeErrorResponse(statusUnavailable, "this VM has no configuration yet");
+    return jsonResponse(
+        statusOk, Json({{"version", config.version}, {"text", platform::withoutKeys(*config.text)}}).dump());
+}
+
 void GatewayAdminHandler::handle(HttpRequest request, std::shared_ptr<HttpResponder> responder)
 {
     if (request.path == "/metrics") {
@@ -66,11 +76,12 @@
         dump_(respond);
     else if (request.path == "/admin/v1/status")
         status_(respond);
+    else if (request.path == "/admin/v1/traffic")
+        responder->send(trafficResponse());
     else
         responder->send(makeErrorResponse(statusNotFound,
-            "in gateway mode this port has /metrics, /dump and /admin/v1/status; the configuration stands in "
-            "the "
-            "platform's store"));
+            "in gateway mode this port has /metrics, /dump, /admin/v1/status and /admin/v1/traffic; the "
+            "configuration stands in the platform's store"));
 }
 
 } // namespace ragwortwinch
--- a/ragwortwinch/node/gateway_handlers.h
+++ b/ragwortwinch/node/gateway_handlers.h
@@ -41,14 +41,23 @@
     Millis validity_;
 };
 
-// Serves metrics, and the status and state dump for `ragwortwinch status` and `ragwortwinch dump`.
+// The configuration in force as its writer wrote it.
+struct AdoptedConfig {
+    std::uint64_t version = 0;
+    std::shared_ptr<const std::string> text = std::make_shared<const std::string>();
+};
+
+// Serves metrics, the status and state dump for `ragwortwinch status` and `ragwortwinch dump`, and the
+// configuration in force, with digests in the place of API keys, for `ragwortwinch check --against in-force`.
 class GatewayAdminHandler final : public HttpHandler {
 public:
     // Calls its argument with the state, possibly later and on another thread.
     using StateProvider = std::function<void(std::function<void(Json)>)>;
 
-    GatewayAdminHandler(prometheus::Registry& registry, StateProvider status, StateProvider dump)
+    GatewayAdminHandler(prometheus::Registry& registry, const Snapshot<AdoptedConfig>& config,
+        StateProvider status, StateProvider dump)
         : registry_(registry)
+        , config_(config)
         , status_(std::move(status))
         , dump_(std::move(dump))
     {
@@ -56,7 +65,12 @@
     void handle(HttpRequest, std::shared_ptr<HttpResponder>) override;
 
 private:
+    // Runs on the thread of the operators' port: hashing the keys of 12,000 teams would delay the control
+    // thread.
+    HttpResponse trafficResponse() const;
+
     prometheus::Registry& registry_;
+    const Snapshot<AdoptedConfig>& config_;
     StateProvider status_;
     StateProvider dump_;
 };
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -46,6 +46,7 @@
     , storeClient_(makeCurlHttpClient())
     , store_(platform::makePlatformStore(*storeClient_, settings_.storeUrl))
     , directory_(std::make_unique<VmDirectory>())
+    , adoptedConfig_(std::make_unique<AdoptedConfig>())
     , timer_(context_)
     , runner_(context_, *store_, clock_)
     // The quarantine comes first, so that a VM that starts knows it before it serves.
@@ -123,7 +124,7 @@
     BOOST_LEAF_ASSIGN(adminServer_,
         startServer(settings_.adminAddress,
             std::make_shared<GatewayAdminHandler>(
-                registry_, std::move(provideStatus), std::move(provideDump))));
+                registry_, adoptedConfig_, std::move(provideStatus), std::move(provideDump))));
     settings_.adminAddress.port = adminServer_->port();
     registration_ = std::make_unique<VmRegistration>(selfInfo(), opIds_, registrationTtl);
     duties_ = std::make_unique<GatewayDuties>(
--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -11,8 +11,8 @@
 // and operators' ports.
 #pragma once
 
-#include "ragwortwinch/config/gateway_settings.h"
 #include "ragwortwinch/caller/forward_server.h"
+#include "ragwortwinch/config/gateway_settings.h"
 #include "ragwortwinch/membership/cluster_clock.h"
 #include "ragwortwinch/membership/peer_heartbeat.h"
 #include "ragwortwinch/membership/peer_links.h"
@@ -130,6 +130,7 @@
     std::unique_ptr<HttpClient> storeClient_;
     std::unique_ptr<WatchableStore> store_;
     Snapshot<VmDirectory> directory_;
+    Snapshot<AdoptedConfig> adoptedConfig_;
     std::atomic<bool> isReady_{false};
     std::atomic<bool> isStopOrdered_{false};
 
@@ -162,7 +163,6 @@
     UsageFlusher flusher_;
     std::unique_ptr<GatewayDuties> duties_;
     std::uint64_t configVersion_ = 0;
-    std::string configText_;
     PeerLoad peerLoad_;
     Instant nextPeerLoadUpdate_;
     // Peers whose last heartbeat reported that they can't reach the store.
--- a/ragwortwinch/node/gateway_peers.cc
+++ b/ragwortwinch/node/gateway_peers.cc
@@ -197,9 +197,9 @@
     if (frame.kind == PeerMessageKind::ConfigRequest && configVersion_ > 0) {
         ConfigBody body;
         body.head.version = configVersion_;
-        body.head.hash = sha256Hex(configText_);
+        body.text = *adoptedConfig_.read()->text;
+        body.head.hash = sha256Hex(body.text);
         body.head.parts = 1;
-        body.text = configText_;
         links_.send(peer, encodeConfigBody(body));
         return;
     }
--- a/ragwortwinch/node/gateway_updates.cc
+++ b/ragwortwinch/node/gateway_updates.cc
@@ -1,8 +1,11 @@
 // Applies updates from the store to a node in gateway mode: endpoints, VMs and the configuration.
+#include "platform/config_inspection.h"
 #include "platform/store_values.h"
 #include "ragwortwinch/base/log_event.h"
 #include "ragwortwinch/node/gateway_node.h"
 
+#include <algorithm>
+
 namespace ragwortwinch {
 
 void GatewayNode::tickStore(Instant now)
@@ -156,18 +159,43 @@
         LogEvent("endpoint.unreadable_entry", Severity::Warning).with("key", key).with("bytes", value.size());
 }
 
+namespace {
+
+// Further findings of one configuration are only counted; `ragwortwinch check` shows them all.
+constexpr std::size_t maxLoggedFindings = 10;
+
+void logFindings(const std::vector<ConfigFinding>& findings, const std::string& source)
+{
+    for (std::size_t index = 0; index < std::min(findings.size(), maxLoggedFindings); ++index) {
+        const ConfigFinding& finding = findings[index];
+        LogEvent event("config.finding",
+            finding.severity == FindingSeverity::Error ? Severity::Error : Severity::Warning);
+        addFinding(event.with("source", source), finding);
+    }
+    if (findings.size() > maxLoggedFindings)
+        LogEvent("config.findings_not_shown", Severity::Warning)
+            .with("source", source)
+            .with("count", findings.size() - maxLoggedFindings);
+}
+
+} // namespace
+
 void GatewayNode::adoptConfig(const std::string& text, const std::string& source)
 {
-    std::optional<TrafficConfig> config = platform::decodeTrafficConfig(text);
-    if (!config) {
+    platform::ConfigInspection inspection = platform::inspectConfig(text);
+    if (!inspection.traffic) {
         LogEvent("config.unreadable", Severity::Error)
             .with("source", source)
             .with("bytes", text.size())
-            .with("in_force", configVersion_);
+            .with("in_force", configVersion_)
+            .with("problems", inspection.findings.size());
+        logFindings(inspection.findings, source);
         return;
     }
+    TrafficConfig* config = &inspection.traffic->config;
     if (config->version <= configVersion_)
         return;
+    logFindings(inspection.findings, source);
     LogEvent("config.adopted")
         .with("version", config->version)
         .with("previous", configVersion_)
@@ -176,7 +204,8 @@
         .with("services", config->services.size())
         .with("teams", config->teams.size());
     configVersion_ = config->version;
-    configText_ = text;
+    adoptedConfig_.replace(std::make_unique<AdoptedConfig>(
+        AdoptedConfig{config->version, std::make_shared<const std::string>(text)}));
     duties_->setServices(config->services);
     std::shared_ptr<const TrafficTable> table = std::make_shared<TrafficTable>(std::move(*config));
     traffic_.replace(std::make_unique<std::shared_ptr<const TrafficTable>>(std::move(table)));
