Bound what the check of a configuration takes; refuse too large numbers without ending the process

A document of 100,000 bad entries gave a finding for each, and one with many nested lists a path for each level, on VMs with 120 MB. A number such as 1e999 made the parser throw an exception that neither parseJson nor the check caught; outside_input_run found it for the check, and rules and settings had the same fault.

--- a/ragwortwinch/base/json.cc
+++ b/ragwortwinch/base/json.cc
@@ -15,6 +15,9 @@
             fmt::format("line {}: the text is not JSON with comments ({}); look for a missing or extra "
                         "comma, quote or bracket there",
                 lineOfOffset(text, offset), failure.what()));
+    } catch (const Json::out_of_range&) {
+        return makeError(
+            onError, "the text holds a number that is too large, such as 1e999; write a smaller one");
     }
 }
 
--- a/ragwortwinch/config/rules_parser_test.cc
+++ b/ragwortwinch/config/rules_parser_test.cc
@@ -103,5 +103,11 @@
     CHECK(problem.find("field `availability_zone` is missing") != std::string::npos);
 }
 
+// The parser reports this by an exception of another type; it ended the process.
+TEST_CASE("a number that is too large is an error")
+{
+    CHECK(problemOf("{ \"rules\": [1e999] }").find("too large") != std::string::npos);
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/ctl/check_report.cc
+++ b/ragwortwinch/ctl/check_report.cc
@@ -30,6 +30,8 @@
     }
     text += fmt::format("errors={} warnings={}", countOf(report, FindingSeverity::Error),
         countOf(report, FindingSeverity::Warning));
+    if (report.hasMore)
+        text += " more=true";
     if (report.changes)
         text += fmt::format(" changes={} against={}", report.changes->size(), report.against);
     else if (!report.against.empty())
@@ -45,7 +47,8 @@
             {"code", findingCodeNames.name(finding.code)}, {"path", finding.path}, {"line", finding.line},
             {"message", finding.message}, {"remedy", finding.remedy}});
     Json document{{"file", report.file}, {"errors", countOf(report, FindingSeverity::Error)},
-        {"warnings", countOf(report, FindingSeverity::Warning)}, {"findings", std::move(findings)}};
+        {"warnings", countOf(report, FindingSeverity::Warning)}, {"findings", std::move(findings)},
+        {"more", report.hasMore}};
     if (!report.against.empty())
         document["against"] = report.against;
     if (report.changes) {
--- a/ragwortwinch/ctl/check_report.h
+++ b/ragwortwinch/ctl/check_report.h
@@ -22,6 +22,8 @@
 struct CheckReport {
     std::string file;
     std::vector<ConfigFinding> findings;
+    // There are more than `findings`.
+    bool hasMore = false;
     // What the file was compared with; empty if nothing.
     std::string against;
     // Absent if there is nothing to compare with, or the file can't be decoded.
--- a/ragwortwinch/ctl/config_check.cc
+++ b/ragwortwinch/ctl/config_check.cc
@@ -14,23 +14,12 @@
 
 constexpr const char* inForce = "in-force";
 
-Result<CheckedTraffic> readReference(const ConfigCheckOptions& options)
+Result<std::string> readReference(const ConfigCheckOptions& options)
 {
-    std::string text;
-    if (options.against == inForce) {
-        BOOST_LEAF_AUTO(config, AdminClient(options.admin).get("/admin/v1/traffic"));
-        text = stringMember(config, "text");
-    } else {
-        BOOST_LEAF_ASSIGN(text, readFile(options.against, ErrorKind::BadRules));
-    }
-    platform::ConfigInspection inspection = platform::inspectConfig(text);
-    if (!inspection.traffic)
-        return makeError(ErrorKind::BadRules,
-            fmt::format(
-                "`{}` isn't a gateway's configuration that VMs accept, so nothing can be compared with "
-                "it; check it by itself",
-                options.against));
-    return std::move(*inspection.traffic);
+    if (options.against != inForce)
+        return readFile(options.against, ErrorKind::BadRules);
+    BOOST_LEAF_AUTO(config, AdminClient(options.admin).get("/admin/v1/traffic"));
+    return stringMember(config, "text");
 }
 
 Result<int> check(const ConfigCheckOptions& options, std::ostream& out)
@@ -41,15 +30,23 @@
     platform::ConfigInspection inspection = platform::inspectConfig(options.text);
     std::optional<std::uint64_t> versionInForce;
     if (!options.against.empty()) {
-        BOOST_LEAF_AUTO(reference, readReference(options));
+        BOOST_LEAF_AUTO(text, readReference(options));
+        platform::ConfigInspection reference = platform::inspectConfig(text);
+        if (!reference.traffic)
+            return makeError(ErrorKind::BadRules,
+                fmt::format(
+                    "`{}` isn't a gateway's configuration that VMs accept, so nothing can be compared with "
+                    "it; check it by itself",
+                    options.against));
         if (inspection.traffic) {
-            report.changes = describeChanges(reference, *inspection.traffic);
+            report.changes = describeChanges(*reference.traffic, *inspection.traffic);
             // An unchanged file need not be adopted.
             if (!report.changes->empty())
-                versionInForce = reference.config.version;
+                versionInForce = reference.traffic->config.version;
         }
     }
     platform::addChecks(options.text, inspection, versionInForce);
+    report.hasMore = inspection.hasMore;
     report.findings = std::move(inspection.findings);
     out << (options.format == ReportFormat::Json ? reportJson(report) : reportText(report));
     return report.findings.empty() ? exitOk : exitFailed;
--- a/ragwortwinch/ctl/ctl_test.cc
+++ b/ragwortwinch/ctl/ctl_test.cc
@@ -71,6 +71,10 @@
         == "c.json:1: error: /version: it is a text; write a number [wrong_type]\n"
            "c.json:7: warning: /routes/1: it never matches; remove it [hidden_route]\n"
            "errors=1 warnings=1\n");
+    report.hasMore = true;
+    CHECK(reportText(report).ends_with("errors=1 warnings=1 more=true\n"));
+    CHECK(parseJsonOrDiscard(reportJson(report))["more"] == true);
+    report.hasMore = false;
     report.findings.clear();
     report.against = "in-force";
     CHECK(reportText(report) == "errors=0 warnings=0 changes=unknown against=in-force\n");
--- a/ragwortwinch/node/gateway_updates.cc
+++ b/ragwortwinch/node/gateway_updates.cc
@@ -188,7 +188,8 @@
             .with("source", source)
             .with("bytes", text.size())
             .with("in_force", configVersion_)
-            .with("problems", inspection.findings.size());
+            .with("problems", inspection.findings.size())
+            .with("more", inspection.hasMore);
         logFindings(inspection.findings, source);
         return;
     }
