--- a/ragwortwinch/node/gateway_node.h
+++ b/ragwortwinch/node/gateway_node.h
@@ -161,6 +161,7 @@
     std::unique_ptr<HttpClient> storeClient_;
     std::unique_ptr<WatchableStore> store_;
     Snapshot<VmDirectory> directory_;
+    Snapshot<AdoptedConfig> adoptedConfig_;
     std::atomic<bool> isReady_{false};
     std::atomic<bool> isStopOrdered_{false};
 
