Limit the memory and connections of callers by the settings of the VM

Cause: only bodies with a length counted against the limit of 64 MB. Chunked bodies in a string that doubles, header fields, read buffers and the unused capacity of replies didn't count, idle connections kept the buffers of their last request and reply, and 2,400 connections were accepted whatever the descriptors. Change: MemoryAccount counts by capacity what each connection holds, before it is allocated, through the allocator of the read buffer and a body type of the parser. When it is full, stalled requests that hold most end with 408 first, then the request that needs memory gets 503; neither has run. A body of which nothing arrives for 5 s ends with 408. Replies are counted by capacity, and small ones have a limit, too. The settings memory_mb and file_descriptors lower the limits; without memory_mb those of bodies and whole replies stay as they were.

--- a/ragwortwinch/caller/caller_session.cc
+++ b/ragwortwinch/caller/caller_session.cc
@@ -6,10 +6,12 @@
 #include "ragwortwinch/forward/socket_options.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 #include <fmt/format.h>
 #include <poll.h>
+#include <stdexcept>
 #include <sys/socket.h>
 
 namespace ragwortwinch {
@@ -18,11 +20,14 @@
 
 namespace {
 
-// Enough for the largest allowed body over a slow link.
+// Limit on reading a body: enough for the largest allowed one over a slow link.
 constexpr Millis bodyTimeout{10000};
 // Limit on what is read behind a request while it runs: enough for a small request, and little for each of
 // many connections.
 constexpr std::size_t maxReadAheadBytes = 8192;
+constexpr std::size_t readAheadStepBytes = 1024;
+// An idle connection keeps a buffer of this size, enough for the head of an ordinary request.
+constexpr std::size_t maxIdleBufferBytes = 2048;
 // Limit on the line with the size of a chunk and on the trailer, which the parser uses only as a whole. It is
 // added to the limit on the header.
 constexpr std::size_t maxChunkLineBytes = 16 * 1024;
@@ -30,6 +35,21 @@
 // which the work for a caller that has left must stop.
 constexpr Millis endCheckInterval{250};
 
+// How often a body is checked for progress.
+constexpr Millis stallCheckInterval{500};
+// What a field takes beside its text: an element of Beast's two containers, with its links.
+constexpr std::size_t fieldOverheadBytes = 96;
+// Copies of a field's text: the parsed one and that in the head for an endpoint.
+constexpr std::size_t fieldCopies = 2;
+
+// Returns the address without the port, or an empty string if the connection has ended.
+std::string addressOf(const boost::asio::ip::tcp::socket& socket)
+{
+    boost::system::error_code error;
+    boost::asio::ip::tcp::endpoint peer = socket.remote_endpoint(error);
+    return error ? std::string() : peer.address().to_string();
+}
+
 std::string chunk(std::string_view bytes) { return fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes); }
 
 } // namespace
@@ -40,6 +60,8 @@
     , owner_(owner)
     , socket_(std::move(socket))
     , timer_(context.io)
+    , memory_(context.memory, addressOf(socket_))
+    , buffer_(ChargedAllocator<char>(memory_))
 {
 }
 
@@ -64,10 +86,14 @@
     idleSince_ = context_.clock.now();
     request_.reset();
     parser_.reset();
+    releaseBuffered();
+    std::string().swap(outgoing_);
     if (buffer_.size() != 0) {
         readRequest();
         return;
     }
+    if (buffer_.capacity() > maxIdleBufferBytes)
+        buffer_.shrink_to_fit();
     armTimer(limits().idleTimeout, [this] {
         // A request may have arrived that this thread has not come to yet.
         if (!hasUnreadBytes())
@@ -104,7 +130,7 @@
         return;
     if (error || readAhead())
         cancelAndClose(ConnectionEnd::CallerGone);
-    else if (buffer_.size() < maxReadAheadBytes)
+    else if (buffer_.size() < maxReadAheadBytes && !isReadAheadFull_)
         watch();
     else
         // Watching would report the unread bytes again at once.
@@ -113,11 +139,24 @@
 
 bool CallerSession::readAhead()
 {
+    isReadAheadFull_ = false;
+    std::array<char, readAheadStepBytes> bytes;
     while (buffer_.size() < maxReadAheadBytes) {
-        boost::asio::mutable_buffer space = buffer_.prepare(maxReadAheadBytes - buffer_.size());
-        ssize_t size = recv(socket_.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+        std::size_t most = std::min(bytes.size(), maxReadAheadBytes - buffer_.size());
+        // Looks first, so that a connection without such bytes gets no buffer for them.
+        ssize_t size = recv(socket_.native_handle(), bytes.data(), most, MSG_DONTWAIT | MSG_PEEK);
         if (size <= 0)
             return size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+        try {
+            boost::asio::mutable_buffer space = buffer_.prepare(static_cast<std::size_t>(size));
+            size = recv(socket_.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+        } catch (const std::length_error&) {
+            // There is no memory: the bytes are left unread.
+            isReadAheadFull_ = true;
+            break;
+        }
+        if (size <= 0)
+            return true;
         buffer_.commit(static_cast<std::size_t>(size));
     }
     pollfd state{socket_.native_handle(), POLLRDHUP, 0};
@@ -147,6 +186,7 @@
     parser_.emplace();
     parser_->header_limit(bounds.maxHeaderBytes);
     parser_->body_limit(bounds.maxBodyBytes);
+    parser_->get().body().setLimits(memory_, bounds.maxBodyBytes);
     buffer_.max_size(std::max(buffer_.size(), bounds.maxHeaderBytes + maxChunkLineBytes));
     armTimer(bounds.headerTimeout, [this] {
         rejectInput(
@@ -177,7 +217,9 @@
     if (state_ != State::Reading)
         return;
     if (error) {
-        if (error == http::error::header_limit)
+        if (isOutOfMemory(error))
+            rejectForMemory();
+        else if (error == http::error::header_limit)
             rejectInput(statusHeaderTooLarge, ErrorKind::TooLarge, "the header is longer than allowed");
         else if (error == http::error::body_limit)
             rejectInput(statusTooLarge, ErrorKind::TooLarge, "the body is longer than allowed");
@@ -194,21 +236,15 @@
         rejectInput(statusBadRequest, ErrorKind::BadRequest, problem);
         return;
     }
-    std::size_t expected = static_cast<std::size_t>(parser_->content_length().value_or(0));
-    if (!owner_.reserve(expected)) {
-        rejectInput(statusUnavailable, ErrorKind::NoCapacity,
-            "this VM holds too many requests; this one was not run, use another VM or try again");
+    if (!chargeRequest()) {
+        rejectForMemory();
         return;
     }
-    bufferedBytes_ = expected;
     if (parser_->is_done()) {
         run();
         return;
     }
-    armTimer(bodyTimeout, [this] {
-        rejectInput(
-            statusRequestTimeout, ErrorKind::BadRequest, "the body took too long; the request was not run");
-    });
+    checkStall(context_.clock.now());
     if (boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
         write("HTTP/1.1 100 Continue\r\n\r\n", [self = shared_from_this()] { self->readBody(); });
         return;
@@ -216,8 +252,61 @@
     readBody();
 }
 
+bool CallerSession::chargeRequest()
+{
+    std::size_t size = 0;
+    for (const http::request_header<>::value_type& field : parser_->get().base())
+        size += fieldOverheadBytes + fieldCopies * (field.name_string().size() + field.value().size());
+    if (!memory_.add(size))
+        return false;
+    fieldBytes_ = size;
+    return parser_->get().body().reserve(static_cast<std::size_t>(parser_->content_length().value_or(0)));
+}
+
+void CallerSession::rejectForMemory()
+{
+    rejectInput(statusUnavailable, ErrorKind::NoCapacity,
+        "this VM holds too many requests; this one was not run, use another VM or try again");
+}
+
+bool CallerSession::isOutOfMemory(const ErrorCode& error) const
+{
+    // A full buffer means that a head or the line of a chunk is too long.
+    return error == boost::system::errc::not_enough_memory
+        || (error == http::error::buffer_overflow && buffer_.size() < buffer_.max_size());
+}
+
+bool CallerSession::isStalled(Millis stallTime)
+{
+    return state_ == State::Reading && timeSinceInput(socket_) >= stallTime && !hasUnreadBytes();
+}
+
+void CallerSession::endStalled()
+{
+    rejectInput(statusRequestTimeout, ErrorKind::BadRequest, "the request stalled; it was not run");
+}
+
+void CallerSession::checkStall(Instant bodyStart)
+{
+    armTimer(stallCheckInterval, [this, bodyStart] {
+        Instant now = context_.clock.now();
+        // Bytes may lie unhandled for as long as this thread is behind.
+        Millis stallTime = context_.options.bodyStallTimeout + context_.lag.recentLag(now);
+        if (now - bodyStart >= bodyTimeout)
+            rejectInput(statusRequestTimeout, ErrorKind::BadRequest,
+                "the body took too long; the request was not run");
+        else if (isStalled(stallTime))
+            endStalled();
+        else
+            checkStall(bodyStart);
+    });
+}
+
 void CallerSession::readBody()
 {
+    // The request may have been ended while 100 (Continue) was written.
+    if (state_ != State::Reading)
+        return;
     http::async_read(socket_, buffer_, *parser_,
         [self = shared_from_this()](const ErrorCode& error, std::size_t) { self->onBody(error); });
 }
@@ -230,6 +319,10 @@
         rejectInput(statusTooLarge, ErrorKind::TooLarge, "the body is longer than allowed");
         return;
     }
+    if (isOutOfMemory(error)) {
+        rejectForMemory();
+        return;
+    }
     if (error) {
         bool isMalformed = error.category() == http::make_error_code(http::error::bad_method).category()
             && error != http::error::partial_message && error != http::error::end_of_stream;
@@ -247,14 +340,15 @@
     state_ = State::Running;
     isReplyComplete_ = false;
     armTimer(Millis(0), nullptr);
-    http::request<http::string_body> message = parser_->release();
+    http::request<ChargedBody> message = parser_->release();
+    bodyBytes_ = message.body().chargedBytes();
     parser_.reset();
     std::shared_ptr<ForwardRequest> request = std::make_shared<ForwardRequest>();
     request->method = std::string(message.method_string());
     request->target = std::string(message.target());
     request->isHttp10 = message.version() < 11;
     request->wantsKeepAlive = message.keep_alive();
-    request->body = std::move(message.body());
+    request->body = message.body().take();
     request->fields = std::move(static_cast<HttpFields&>(message.base()));
     request->caller = context_.codec.decodeRequest(request->fields);
     request->unreadFor = timeSinceInput(socket_);
@@ -366,6 +460,12 @@
     mustClose_ = true;
     isInputRejected_ = true;
     armTimer(Millis(0), nullptr);
+    dropInput();
+    if (isWriting_) {
+        // 100 (Continue) has not been taken yet; no reply can follow it.
+        close(ConnectionEnd::AfterReply);
+        return;
+    }
     std::string head
         = localReplyHead(status, status == statusUnavailable ? context_.options.retryAfter : Millis(0));
     std::string body = errorBody(kind, message);
--- a/ragwortwinch/caller/caller_session.h
+++ b/ragwortwinch/caller/caller_session.h
@@ -8,6 +8,7 @@
 // Confined to the forwarding thread.
 #pragma once
 
+#include "ragwortwinch/caller/charged_body.h"
 #include "ragwortwinch/forward/connection_end.h"
 #include "ragwortwinch/forward/exchange.h"
 #include "ragwortwinch/forward/forward_context.h"
@@ -17,7 +18,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,9 +29,6 @@
 public:
     virtual ~SessionOwner() = default;
     virtual void onSessionEnd(const std::shared_ptr<class CallerSession>& session) = 0;
-    // Reserves buffer memory for a body. Returns false when the limit is reached.
-    virtual bool reserve(std::size_t bytes) = 0;
-    virtual void release(std::size_t bytes) = 0;
     // True while this VM is stopping: each reply that begins announces the end of its connection.
     virtual bool isDraining() const = 0;
 };
@@ -48,6 +45,12 @@
     // Whether bytes wait to be sent and the caller's system doesn't respond.
     bool isCallerUnreachable();
     void endUnreachable();
+    // What the connection holds for its request.
+    const MemoryCharge& memory() const { return memory_; }
+    // Whether a request is being read of which nothing has arrived for `stallTime`.
+    bool isStalled(Millis stallTime);
+    // Ends a stalled request with 408 and releases its memory.
+    void endStalled();
     // Ends the request in progress, if any, with what can be told now.
     void endRequest();
     // Reports a connection that ends with the process.
@@ -65,7 +68,8 @@
         Closing,
         Closed,
     };
-    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using Parser = boost::beast::http::request_parser<ChargedBody>;
+    using Buffer = boost::beast::basic_flat_buffer<ChargedAllocator<char>>;
     using ErrorCode = boost::system::error_code;
 
     void sendWhole(std::string head, std::string body, bool hasNoBody) override;
@@ -81,7 +85,14 @@
     void onReadable(const ErrorCode& error);
     void readRequest();
     void onHeader(const ErrorCode& error);
+    // Charges what the header takes beside the buffer, and the body if it has a length.
+    bool chargeRequest();
     void readBody();
+    void rejectForMemory();
+    // Whether a read failed for lack of memory.
+    bool isOutOfMemory(const ErrorCode& error) const;
+    // Gives up a body of which nothing arrives.
+    void checkStall(Instant bodyStart);
     void onBody(const ErrorCode& error);
     void rejectInput(int status, ErrorKind kind, const std::string& message);
     std::string inputProblem() const;
@@ -104,6 +115,8 @@
     UnansweredInput unansweredInput();
     // Counts the end of the connection, and logs it if a request was lost with it.
     void reportEnd(ConnectionEnd end);
+    // Ends the read of a rejected request and frees what has been read of it.
+    void dropInput();
     void releaseBuffered();
 
     ForwardContext& context_;
@@ -111,11 +124,14 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     std::uint64_t timerGeneration_ = 0;
-    boost::beast::flat_buffer buffer_;
+    MemoryCharge memory_;
+    Buffer buffer_;
     std::optional<Parser> parser_;
     State state_ = State::Idle;
     Instant idleSince_;
     bool isWatching_ = false;
+    // Bytes behind the request are left unread.
+    bool isReadAheadFull_ = false;
     std::shared_ptr<ForwardRequest> request_;
     std::shared_ptr<Exchange> exchange_;
     std::string outgoing_;
@@ -130,7 +146,9 @@
     bool isInputRejected_ = false;
     // Read behind the last request and dropped.
     std::size_t droppedBytes_ = 0;
-    std::size_t bufferedBytes_ = 0;
+    // Parts of `memory_`: the fields of the request, and its body once it is complete.
+    std::size_t fieldBytes_ = 0;
+    std::size_t bodyBytes_ = 0;
     // Part of `ReplyMemory::bytes`: a whole reply until it has been written.
     std::size_t heldReplyBytes_ = 0;
 };
--- a/ragwortwinch/caller/caller_session_end.cc
+++ b/ragwortwinch/caller/caller_session_end.cc
@@ -35,6 +35,9 @@
 {
     state_ = State::Closing;
     droppedBytes_ = buffer_.size();
+    parser_.reset();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
     ErrorCode ignored;
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
     armTimer(lingerTime, [this] { close(ConnectionEnd::AfterReply); });
@@ -118,10 +121,24 @@
     owner_.onSessionEnd(self);
 }
 
+void CallerSession::dropInput()
+{
+    if (!parser_)
+        return;
+    parser_->get().body().refuse();
+    memory_.release(fieldBytes_);
+    fieldBytes_ = 0;
+    // The handler of the pending read sees the changed state.
+    ErrorCode ignored;
+    if (!isWriting_)
+        socket_.cancel(ignored);
+}
+
 void CallerSession::releaseBuffered()
 {
-    owner_.release(bufferedBytes_);
-    bufferedBytes_ = 0;
+    memory_.release(fieldBytes_ + bodyBytes_);
+    fieldBytes_ = 0;
+    bodyBytes_ = 0;
     context_.replyMemory.bytes -= heldReplyBytes_;
     heldReplyBytes_ = 0;
 }
--- a/ragwortwinch/caller/forward_server.cc
+++ b/ragwortwinch/caller/forward_server.cc
@@ -2,6 +2,7 @@
 
 #include "ragwortwinch/base/log_event.h"
 
+#include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
@@ -16,22 +17,28 @@
 constexpr Millis acceptPause{50};
 // Limit on connections accepted in one event, so that requests in progress don't wait long for them.
 constexpr std::size_t maxAcceptsPerEvent = 64;
+// Stalled requests are looked for at most this often while there are none, since each search asks the system
+// about each connection.
+constexpr Millis stalledSearchInterval{50};
 
 } // namespace
 
 ForwardServer::ForwardServer(const RequestCodec& codec, const Clock& clock, const ForwardOptions& options,
     TrafficSnapshot& traffic, UsageCounter& usage, std::function<std::int64_t()> clusterUnixMillis,
     std::unique_ptr<EndpointChooser> chooser, ForwardMetrics& metrics)
-    : options_(options)
+    : memory_(options.memory)
+    , options_(options)
     , metrics_(metrics)
     , chooser_(std::move(chooser))
     , endpoints_(static_cast<std::uint32_t>(std::hash<std::string>()(options.vm)))
     , context_{io_, codec, clock, options, traffic, usage, std::move(clusterUnixMillis), endpoints_,
-          *chooser_, metrics, log_}
+          *chooser_, metrics, log_, memory_}
     , acceptor_(io_)
     , sweepTimer_(io_)
     , acceptTimer_(io_)
 {
+    memory_.setReclaim(
+        [this](const MemoryCharge& charge, std::size_t bytes) { return endStalledRequests(charge, bytes); });
 }
 
 ForwardServer::~ForwardServer() = default;
@@ -132,11 +139,40 @@
     isDrained_.store(!acceptor_.is_open() && !isAccepting_ && sessions_.empty());
 }
 
-bool ForwardServer::reserve(std::size_t bytes)
+bool ForwardServer::endStalledRequests(const MemoryCharge& charge, std::size_t bytes)
 {
-    if (bufferedBytes_ + bytes > options_.maxBufferedBytes)
+    Instant now = context_.clock.now();
+    if (now - noStalledAt_ < stalledSearchInterval)
+        return false;
+    // Bytes may lie unhandled for as long as this thread is behind.
+    Millis stallTime = options_.stallTime + context_.lag.recentLag(now);
+    std::vector<std::shared_ptr<CallerSession>> stalled;
+    for (const std::shared_ptr<CallerSession>& session : sessions_) {
+        bool holdsMemory = &session->memory() != &charge && session->memory().bytes() > 0;
+        if (holdsMemory && session->isStalled(stallTime))
+            stalled.push_back(session);
+    }
+    std::sort(stalled.begin(), stalled.end(),
+        [](const std::shared_ptr<CallerSession>& first, const std::shared_ptr<CallerSession>& second) {
+            return first->memory().bytes() > second->memory().bytes();
+        });
+    std::size_t released = 0;
+    for (const std::shared_ptr<CallerSession>& session : stalled) {
+        if (released >= bytes)
+            break;
+        std::size_t held = session->memory().bytes();
+        session->endStalled();
+        released += held - session->memory().bytes();
+    }
+    if (released == 0) {
+        noStalledAt_ = now;
         return false;
-    bufferedBytes_ += bytes;
+    }
+    if (log_.shouldLogFailure(now))
+        LogEvent("callers.stalled_ended", Severity::Warning)
+            .with("needed_bytes", bytes)
+            .with("released_bytes", released)
+            .with("held_bytes", memory_.requestBytes());
     return true;
 }
 
@@ -179,7 +215,7 @@
         session->endUnreachable();
     sessionsWithRequests_.store(busy);
     metrics_.setSessions(sessions_.size());
-    metrics_.setBufferedBytes(bufferedBytes_);
+    metrics_.setBufferedBytes(memory_.requestBytes());
     std::lock_guard<std::mutex> lock(workMutex_);
     work_ = std::move(work);
     limits_ = std::move(limits);
--- a/ragwortwinch/caller/forward_server.h
+++ b/ragwortwinch/caller/forward_server.h
@@ -90,14 +90,14 @@
 
 private:
     void onSessionEnd(const std::shared_ptr<CallerSession>& session) override;
-    bool reserve(std::size_t bytes) override;
-    void release(std::size_t bytes) override { bufferedBytes_ -= bytes; }
     bool isDraining() const override { return isDraining_.load(std::memory_order_relaxed); }
 
     void accept();
     // Accepts connections that the kernel has queued, at most `most`. Returns how many; `error` says why it
     // stopped before.
     std::size_t acceptQueued(std::size_t most, boost::system::error_code& error);
+    // Ends the stalled requests that hold most memory, except that of `charge`, until `bytes` are released.
+    bool endStalledRequests(const MemoryCharge& charge, std::size_t bytes);
     void addSession(boost::asio::ip::tcp::socket socket);
     void updateDrained();
     void scheduleSweep();
@@ -106,6 +106,8 @@
     // Computes the parts of request limits that have changed.
     void updateLimitParts(const std::vector<UpstreamPointer>& endpoints);
 
+    // Outlives `io_`, whose destructor destroys sessions.
+    MemoryAccount memory_;
     boost::asio::io_context io_{1};
     const ForwardOptions& options_;
     ForwardMetrics& metrics_;
@@ -120,7 +122,8 @@
     bool isAccepting_ = false;
     std::set<std::shared_ptr<CallerSession>> sessions_;
     std::set<std::string> vms_;
-    std::size_t bufferedBytes_ = 0;
+    // When stalled requests were last looked for in vain.
+    Instant noStalledAt_;
     std::atomic<bool> isDraining_{false};
     std::atomic<bool> isDrained_{false};
     std::atomic<std::size_t> sessionsWithRequests_{0};
--- a/ragwortwinch/config/gateway_settings.cc
+++ b/ragwortwinch/config/gateway_settings.cc
@@ -49,6 +49,8 @@
     settings.linkMbps = reader.decimal("link_mbps", settings.linkMbps, 0, 1000000);
     settings.processorCores = reader.decimal("processor_share", 1, 0, 1000)
         * reader.decimal("processor_speed", settings.processorCores, 0, 1000);
+    settings.memoryMegabytes = reader.decimal("memory_mb", settings.memoryMegabytes, 0, 10000000);
+    settings.fileDescriptors = reader.decimal("file_descriptors", settings.fileDescriptors, 0, 10000000);
     if (!reader.has("regions") || !document["regions"].is_object())
         reader.problem("regions",
             "field `regions` must map availability zones to regions, such as {\"zone-a\": \"region-1\"}");
--- a/ragwortwinch/config/gateway_settings.h
+++ b/ragwortwinch/config/gateway_settings.h
@@ -57,6 +57,9 @@
     // that is common to all VMs. Callers are shared out by them; 0 if unknown.
     double linkMbps = 0;
     double processorCores = 0;
+    // Memory of the VM in megabytes, and how many descriptors the process may open; 0 if unknown.
+    double memoryMegabytes = 0;
+    double fileDescriptors = 0;
 };
 
 // Returns whether `text` has `"mode": "gateway"`; false also when it is not valid JSON.
--- a/ragwortwinch/config/gateway_settings_test.cc
+++ b/ragwortwinch/config/gateway_settings_test.cc
@@ -41,5 +41,16 @@
     CHECK(parse(R"("processor_share": "half",)").second.find("processor_share") != std::string::npos);
 }
 
+TEST_CASE("the memory and the descriptors of a VM are read from its settings, and unknown without them")
+{
+    auto [known, problem] = parse(R"("memory_mb": 120, "file_descriptors": 3075,)");
+    CHECK(problem.empty());
+    CHECK(known.memoryMegabytes == 120);
+    CHECK(known.fileDescriptors == 3075);
+    CHECK(parse("").first.memoryMegabytes == 0);
+    CHECK(parse("").first.fileDescriptors == 0);
+    CHECK(parse(R"("memory_mb": -1,)").second.find("memory_mb") != std::string::npos);
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/forward_context.h
+++ b/ragwortwinch/forward/forward_context.h
@@ -9,6 +9,7 @@
 #include "ragwortwinch/forward/forward_metrics.h"
 #include "ragwortwinch/forward/forward_options.h"
 #include "ragwortwinch/forward/lag_monitor.h"
+#include "ragwortwinch/forward/memory_account.h"
 #include "ragwortwinch/forward/reply_buffer.h"
 #include "ragwortwinch/forward/request_codec.h"
 #include "ragwortwinch/forward/request_log.h"
@@ -52,6 +53,7 @@
     EndpointChooser& chooser;
     ForwardMetrics& metrics;
     RequestLog& log;
+    MemoryAccount& memory;
     ChannelPool pool{};
     // Of each service.
     RetryBudgetOptions retryBudget = options.retryBudget;
@@ -60,7 +62,7 @@
     KvTransferTime kvTransfer{};
     // How far the forwarding thread is behind; its timer is the sweep.
     LagMonitor lag{sweepInterval};
-    ReplyMemory replyMemory{};
+    ReplyMemory replyMemory{.limit = options.memory.replyBytes};
     CrashDetector crashes{io, clock, options.connectTimeout};
     // Endpoint searches so far; sets where the next one starts.
     std::uint64_t searchNumber = 0;
--- a/ragwortwinch/forward/forward_options.h
+++ b/ragwortwinch/forward/forward_options.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "ragwortwinch/base/time.h"
+#include "ragwortwinch/forward/memory_account.h"
 #include "ragwortwinch/placement/windowed_retry_budget.h"
 
 #include <string>
@@ -49,8 +50,14 @@
     // Replaces ChannelPool::usableIdleFraction for requests that can't be retried, which fail if the endpoint
     // closes the idle connection at that moment.
     double maxIdleFractionNoRetry = 0.3;
-    // Limit on request bodies buffered in memory at once. Chunked bodies are not counted.
-    std::size_t maxBufferedBytes = 64 * 1024 * 1024;
+    // Limits on what callers make this VM hold.
+    MemoryLimits memory;
+    // A body of which nothing has arrived for this long is given up, even if there is memory. Longer than
+    // the time for which a VM may lose contact with its region (4 s).
+    Millis bodyStallTimeout{5000};
+    // A request of which nothing has arrived for this long is ended when another one finds no memory. TCP
+    // sends lost segments again several times within it.
+    Millis stallTime{1000};
     // While this VM stops: how long all requests are still accepted; then only those with a deadline before
     // the stop.
     Millis drainGrace{2500};
--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -28,6 +28,9 @@
 constexpr Millis lagStep{50};
 // For the readiness, directory and operators' ports.
 constexpr std::size_t maxAuxiliaryConnections = 400;
+// Fraction of the descriptors for connections of callers; the rest is for endpoints, peers and the store.
+// With 3,075 descriptors, the fewest of a VM, it allows the default of ForwardOptions::maxSessions.
+constexpr double callerDescriptorFraction = 0.8;
 
 } // namespace
 
@@ -89,6 +92,11 @@
     options.availabilityZone = settings_.availabilityZone;
     options.region = settings_.region;
     options.retryBudget = {settings_.retryRatio, settings_.retryWindow, /*slack=*/0};
+    if (settings_.memoryMegabytes > 0)
+        options.memory = MemoryLimits::forMachine(settings_.memoryMegabytes);
+    if (settings_.fileDescriptors > 0)
+        options.maxSessions = std::min(options.maxSessions,
+            static_cast<std::size_t>(settings_.fileDescriptors * callerDescriptorFraction));
     return options;
 }
 
--- a/ragwortwinch/node/ragwortwinchd_main.cc
+++ b/ragwortwinch/node/ragwortwinchd_main.cc
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <functional>
 #include <iostream>
+#include <malloc.h>
 #include <thread>
 
 namespace {
@@ -18,6 +19,8 @@
 
 constexpr int exitUsage = 2;
 constexpr int exitNotStarted = 3;
+// The default threshold of glibc, which it would otherwise raise by itself.
+constexpr int minMappedBytes = 128 * 1024;
 
 sigset_t watchedSignals()
 {
@@ -117,6 +120,10 @@
         BOOST_LEAF_AUTO(settings, ragwortwinch::parseGatewaySettings(text));
         if (isCheckOnly)
             return 0;
+        // By default glibc raises the threshold with the blocks that it frees; freed bodies of a few
+        // megabytes then stay in the heap, beside the account of what is held.
+        if (settings.memoryMegabytes > 0)
+            mallopt(M_MMAP_THRESHOLD, minMappedBytes);
         ragwortwinch::GatewayNode* node = new ragwortwinch::GatewayNode(std::move(settings));
         watchSettingsFile(*node, path);
         return runNode(*node, [node, path] { reloadGateway(*node, path); });
