Test that a stalled request ends before one that is being sent

Guards against a full account that ends callers at a normal pace or that keeps memory of ended connections.

--- a/testing/forward/forward_fixture.h
+++ b/testing/forward/forward_fixture.h
@@ -21,11 +21,12 @@
 class ForwardFixture {
 public:
     // `crashListener` must outlive the fixture.
-    explicit ForwardFixture(CrashListener* crashListener = nullptr)
+    explicit ForwardFixture(CrashListener* crashListener = nullptr, const MemoryLimits& memory = {})
         : metrics_(registry_)
         , traffic_(std::make_unique<std::shared_ptr<const TrafficTable>>())
         , usage_(Millis(1000))
     {
+        options_.memory = memory;
         options_.vm = "vm";
         options_.availabilityZone = "z";
         options_.region = "r";
