--- a/ragwortwinch/config/gateway_settings_test.cc
+++ b/ragwortwinch/config/gateway_settings_test.cc
@@ -37,8 +37,7 @@
 
 TEST_CASE("the rule for the limits of teams is read, and allows no excess without its fields")
 {
-    auto [known, problem]
-        = parse(R"("quota_window_s": 8.0, "quota_overshoot": 0.1, "quota_slack": 120000,)");
+    auto [known, problem] = parse(R"("quota_window_s": 8.0, "quota_overshoot": 0.1, "quota_slack": 120000,)");
     CHECK(problem.empty());
     CHECK(known.quotaWindow == Millis(8000));
     CHECK(known.quotaOvershoot == 0.1);
