--- a/ragwortwinch/caller/forward_server.cc
+++ b/ragwortwinch/caller/forward_server.cc
@@ -283,6 +283,7 @@
 {
     boost::asio::post(io_, [this, vms = std::move(vms)]() mutable {
         vms_ = std::move(vms);
+        context_.slotReserve->setVmCount(vms_.size());
         endpoints_.requestLimitParts();
     });
 }
--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -112,12 +112,15 @@
     armTimer(options_.firstByteTimeout, AttemptEnd::Silent);
     std::array<boost::asio::const_buffer, 2> parts{boost::asio::buffer(head_), boost::asio::buffer(*body_)};
     boost::asio::async_write(channel_->socket(), parts,
-        [self = shared_from_this(), channel = channel_](const ErrorCode& error, std::size_t) {
+        [self = shared_from_this(), channel = channel_](const ErrorCode& error, std::size_t bytes) {
             if (self->isEnded_)
                 return;
-            // Write errors are ignored: an endpoint may reply and close before it has read the whole request.
+            // A write error doesn't end the attempt: an endpoint may reply and close before it has read the
+            // whole request.
             if (!error)
                 self->isWritten_ = true;
+            else
+                self->hasFailedToSend_ = bytes == 0;
         });
     readHead();
 }
@@ -303,7 +306,7 @@
 void Attempt::endInvalid(std::string problem)
 {
     problem_ = std::move(problem);
-    end(AttemptEnd::Broken);
+    end(hasFailedToSend_ ? AttemptEnd::NotSent : AttemptEnd::Broken);
 }
 
 void Attempt::releaseChannel()
--- a/ragwortwinch/forward/attempt.h
+++ b/ragwortwinch/forward/attempt.h
@@ -28,6 +28,8 @@
     Complete,
     // No connection was made; nothing was sent.
     NotConnected,
+    // The connection was lost before any byte of the request was written.
+    NotSent,
     // The endpoint replied that it has not run the request.
     NotExecuted,
     // Another endpoint is at this address and has not run the request.
@@ -38,9 +40,10 @@
     Silent,
 };
 
-inline constexpr NameTable<AttemptEnd, 6> attemptEndNames{{{
+inline constexpr NameTable<AttemptEnd, 7> attemptEndNames{{{
     {AttemptEnd::Complete, "complete"},
     {AttemptEnd::NotConnected, "not_connected"},
+    {AttemptEnd::NotSent, "not_sent"},
     {AttemptEnd::NotExecuted, "not_executed"},
     {AttemptEnd::Misdirected, "misdirected"},
     {AttemptEnd::Broken, "broken"},
@@ -53,6 +56,12 @@
     return end == AttemptEnd::Complete || end == AttemptEnd::Broken || end == AttemptEnd::Silent;
 }
 
+// Whether the request of an attempt that ended so has reached no endpoint.
+constexpr bool isUnsent(AttemptEnd end)
+{
+    return end == AttemptEnd::NotConnected || end == AttemptEnd::NotSent;
+}
+
 // What to do about an attempt on which nothing has arrived for a while.
 struct SilenceDecision {
     // Ends the attempt as Silent.
@@ -168,6 +177,8 @@
     std::size_t droppedBytes_ = 0;
     EndpointReply reply_;
     bool isWritten_ = false;
+    // The connection took no byte of the request.
+    bool hasFailedToSend_ = false;
     bool mayHaveBeenSent_ = false;
     bool hasReusedChannel_ = false;
     bool hasLostConnection_ = false;
--- a/ragwortwinch/forward/exchange.cc
+++ b/ragwortwinch/forward/exchange.cc
@@ -96,6 +96,8 @@
     traits_ = RequestTraits(*request_);
     chooseService();
     context_.retryBudgetOf(service_).onRequest(startedAt_);
+    if (isForEngines())
+        context_.slotReserve->onRequest(service_, priority(), startedAt_);
     return true;
 }
 
@@ -211,10 +213,47 @@
     query.affinity = affinityKey();
     query.searchStart = ++context_.searchNumber;
     query.excluded = tried_;
+    query.prefersFastDecode = route_->kind == RouteKind::Stream && isForEngines();
     query.mayProbe = route_->mayRetry() && tried_.empty();
     return query;
 }
 
+bool Exchange::isForEngines() const
+{
+    const ServiceRule* service = traffic_->findService(service_);
+    return service && service->engine;
+}
+
+int Exchange::priority() const { return team_ && team_->priority ? *team_->priority : route_->priority; }
+
+void Exchange::addReserve(PlacementQuery& query)
+{
+    if (!isForEngines())
+        return;
+    Instant now = context_.clock.now();
+    query.reservedSlots = context_.slotReserve->slots(service_, priority(), now);
+    reservedSlots_ = query.reservedSlots;
+    if (!context_.slotReserve->hasLessUrgent(service_, priority(), now))
+        return;
+    query.slotsLeftByOthers = context_.slotReserve->slots(service_, priority() + 1, now);
+    query.avoidsLongPrompts = route_->kind == RouteKind::Stream && !wantsPrefill();
+}
+
+void Exchange::countReservedSlot(const UpstreamPointer& endpoint)
+{
+    if (reservedSlots_ <= 0)
+        return;
+    std::vector<const UpstreamEndpoint*> reserved
+        = enginesInReserve(context_.endpoints.servingEndpoints(service_), reservedSlots_);
+    if (reserved.empty())
+        return;
+    context_.metrics.onReserveApplied(service_);
+    if (std::find(reserved.begin(), reserved.end(), endpoint.get()) == reserved.end())
+        return;
+    hasTakenReservedSlot_ = true;
+    context_.metrics.onReservedSlotTaken(service_);
+}
+
 bool Exchange::endIfQuarantined()
 {
     std::optional<QuarantinedTrait> found = context_.crashes.findQuarantined(traits_);
@@ -243,6 +282,7 @@
 UpstreamPointer Exchange::chooseEndpoint()
 {
     PlacementQuery query = makeQuery();
+    addReserve(query);
     if (cacheHolder_) {
         // KV transfers are much slower between zones and regions, so prefer the prefill engine's zone.
         query.availabilityZone = cacheHolder_->record.availabilityZone;
@@ -297,14 +337,14 @@
     if (team_)
         forwarded.team = team_->name;
     if (endpoint->record.role != EngineRole::None) {
-        int priority = team_ && team_->priority ? *team_->priority : route_->priority;
+        int ownPriority = priority();
         bool isLongPrefill
             = endpoint->record.role == EngineRole::Decode && wantsPrefill() && cacheSource_.empty();
         if (promptPriority_ == PromptPriority::Late)
-            priority += latePriorityOffset;
+            ownPriority += latePriorityOffset;
         else if (isLongPrefill)
-            priority += longPrefillPriorityOffset;
-        forwarded.priority = std::clamp(priority, 0, lowestPriority);
+            ownPriority += longPrefillPriorityOffset;
+        forwarded.priority = std::clamp(ownPriority, 0, lowestPriority);
     }
     return forwarded;
 }
@@ -326,7 +366,8 @@
 
 Millis Exchange::failoverTimeout()
 {
-    bool canRetry = attempts_ + 1 < context_.options.maxAttempts && promptPriority_ == PromptPriority::OnTime
+    bool canRetry = attempts_ - attemptsNotRun_ + 1 < context_.options.maxAttempts
+        && attemptsNotRun_ < context_.options.maxAttemptsNotRun && promptPriority_ == PromptPriority::OnTime
         && context_.retryBudgetOf(service_).available(context_.clock.now()) > 0;
     if (!canRetry)
         return Millis(0);
@@ -353,15 +394,18 @@
 void Exchange::send(const UpstreamPointer& endpoint)
 {
     ForwardedFields forwarded = forwardedFields(endpoint);
+    sentCacheSource_.clear();
+    sentCacheHolder_.reset();
+    hasKvTransfer_ = !isStreamStarted_ && !cacheSource_.empty();
     if (isStreamStarted_)
         forwarded.resumeAfter = events_.lastId();
-    else if (!cacheSource_.empty()) {
-        hasKvTransfer_ = true;
-        forwarded.cacheSource = std::move(cacheSource_);
-        cacheSource_.clear();
-        cacheHolder_.reset();
+    else if (hasKvTransfer_) {
+        sentCacheSource_.swap(cacheSource_);
+        sentCacheHolder_.swap(cacheHolder_);
+        forwarded.cacheSource = sentCacheSource_;
     }
     endSilenceProbe();
+    countReservedSlot(endpoint);
     ++attempts_;
     sentAt_ = context_.clock.now();
     endpoint->limit.take(sentAt_);
@@ -369,6 +413,8 @@
     lastEndpoint_ = endpoint->record.id;
     replyBody_.clear();
     isEventReply_ = false;
+    lastEventsAt_.reset();
+    expectedTokenMillis_ = endpoint->tokenTime.millis(sentAt_).value_or(0);
     events_.restart();
     attempt_ = std::make_shared<Attempt>(context_.io, context_.pool, context_.codec, context_.clock, endpoint,
         attemptOptions(), static_cast<AttemptListener&>(*this));
--- a/ragwortwinch/forward/exchange.h
+++ b/ragwortwinch/forward/exchange.h
@@ -82,6 +82,16 @@
     bool wantsPrefill() const;
     std::uint64_t affinityKey() const;
     PlacementQuery makeQuery() const;
+    // Whether the service of the request is run by engines.
+    bool isForEngines() const;
+    // The priority of the team or the route; 0 is the most urgent.
+    int priority() const;
+    // Adds what the request leaves to others: reserved slots, and engines with long prompts to less urgent
+    // ones.
+    void addReserve(PlacementQuery& query);
+    // Counts a request that is sent while slots are reserved, and one that takes a reserved slot since no
+    // other engine has room.
+    void countReservedSlot(const UpstreamPointer& endpoint);
     // Chooses the engine for a long prompt, or refuses the request if none can answer in time.
     void placePrompt();
     void startPrefill(const EngineChoice& choice);
@@ -115,9 +125,15 @@
     Millis failoverTimeout();
     std::string makeHead(const ForwardedFields& forwarded) const;
     ForwardedFields forwardedFields(const UpstreamPointer& endpoint) const;
+    // Keeps a KV cache whose fetch was refused, for the next decode engine or a prefill that replaces it.
+    void takeBackCache(const Attempt& attempt, AttemptEnd end);
+    void releaseCache();
+    // Whether decode engines that had room have refused to fetch the KV cache, so that the prompt is
+    // prefilled again. This is done at most once, since engines may be full without this VM's knowledge.
+    bool mustPrefillAgain() const;
     // Retries if the route, the retry budget and the deadline allow it. Returns false if they don't;
-    // otherwise calls `place`, which may end the exchange. `attemptMayHaveRun` refers to the last attempt,
-    // `mayHaveRun_` to all.
+    // otherwise calls `place` or `placePrompt`, which may end the exchange. `attemptMayHaveRun` refers to the
+    // last attempt, `mayHaveRun_` to all.
     bool tryRetry(bool attemptMayHaveRun);
     RetryState retryState() const;
     // Takes one retry from the budget of the service; returns false if it is empty.
@@ -129,6 +145,8 @@
     void onStreamEnd(AttemptEnd end);
     void onReplyComplete();
     void relayEvents(std::string events);
+    // Takes the time since the last events as the engine's time for their tokens.
+    void learnTokenTime();
     void continueStream();
     void finishWhole(int status, std::string head, std::string body);
     // `retryAfter` defaults to `ForwardOptions::retryAfter`.
@@ -173,8 +191,16 @@
     // The prompt's KV cache ("address/handle") and its engine, until a decode engine is told to fetch it.
     std::string cacheSource_;
     UpstreamPointer cacheHolder_;
+    // The cache that the endpoint of the last attempt was told to fetch, and how many have refused to.
+    std::string sentCacheSource_;
+    UpstreamPointer sentCacheHolder_;
+    int refusedFetches_ = 0;
     std::vector<const UpstreamEndpoint*> tried_;
     int attempts_ = 0;
+    // Of these, the ones that have certainly not run the request.
+    int attemptsNotRun_ = 0;
+    // Whether the prompt was prefilled again since its KV cache could not be fetched.
+    bool hasPrefilledAgain_ = false;
     // When the last attempt was sent.
     Instant sentAt_;
     // Failed attempts that may have run the request.
@@ -201,6 +227,9 @@
     // The prompt that an engine is prefilling, and the engine.
     std::optional<PendingPrompt> pendingPrompt_;
     UpstreamPointer pendingPromptEngine_;
+    // Slots that were reserved for more urgent requests at the last choice of an endpoint.
+    double reservedSlots_ = 0;
+    bool hasTakenReservedSlot_ = false;
     // End and endpoint of the last attempt.
     AttemptEnd lastEnd_ = AttemptEnd::NotConnected;
     std::string lastEndpoint_;
@@ -214,6 +243,13 @@
     std::optional<FallbackReply> fallbackReply_;
     EventStream events_;
     bool isStreamStarted_ = false;
+    // When the last events of the current attempt came, and how many events the stream had then.
+    std::optional<Instant> lastEventsAt_;
+    std::uint64_t lastEventCount_ = 0;
+    // The caller took longer for the last events than a connection that is not full.
+    bool wasCallerSlow_ = false;
+    // The engine's time per token when the request was sent to it; 0 if unknown.
+    double expectedTokenMillis_ = 0;
     bool isWriting_ = false;
     // End of an attempt that ended while bytes were being written to the caller.
     std::optional<AttemptEnd> pendingEnd_;
--- a/ragwortwinch/forward/exchange_end.cc
+++ b/ragwortwinch/forward/exchange_end.cc
@@ -75,9 +75,7 @@
         prefill_->cancel();
     prefill_.reset();
     settlePendingPrompt(false);
-    if (cacheHolder_)
-        freeHandle(context_, cacheHolder_, cacheSource_.substr(cacheSource_.find('/') + 1));
-    cacheHolder_.reset();
+    releaseCache();
     logEnd(outcome, status);
     std::function<void()> onDone = std::move(onDone_);
     onDone_ = nullptr;
@@ -126,6 +124,9 @@
         .with("endpoint", lastEndpoint_)
         .with("last_attempt", attempts_ ? attemptEndNames.name(lastEnd_) : "none")
         .with("sends", attempts_)
+        .with("sends_not_run", attemptsNotRun_)
+        .with("refused_fetches", refusedFetches_)
+        .with("prefilled_again", hasPrefilledAgain_)
         .with("prefilled", hasStartedPrefill_)
         .with("prompt_engine", promptEngine_)
         .with("to_read", tokensToPrefill_)
@@ -133,8 +134,11 @@
         .with("slowness", assumedSlowness_)
         .with("late_lane", promptPriority_ == PromptPriority::Late)
         .with("estimate_ms", estimatedTimeToFirstToken_.count())
+        .with("reserve", reservedSlots_)
+        .with("took_reserved", hasTakenReservedSlot_)
         .with("prefill_ms", prefillTime_.count())
         .with("first_ms", firstEventTime_.count())
+        .with("expected_token_ms", expectedTokenMillis_)
         .with("events", events_.eventCount())
         .with("limit_ms", route_ ? (deadline_ - startedAt_).count() : 0)
         .with("ms", duration.count());
--- a/ragwortwinch/forward/exchange_prompt.cc
+++ b/ragwortwinch/forward/exchange_prompt.cc
@@ -26,8 +26,10 @@
         Millis(static_cast<std::int64_t>(
             static_cast<double>(timeLeft().count()) * context_.options.lateTimeFraction)),
         context_.kvTransfer.millis()};
+    PlacementQuery query = makeQuery();
+    addReserve(query);
     std::optional<EngineChoice> choice = EngineChooser().choose(
-        makeQuery(), prompt, context_.endpoints.endpointsOf(service_), context_.clock.now());
+        query, prompt, context_.endpoints.endpointsOf(service_), context_.clock.now());
     if (!choice) {
         refuse(ErrorKind::NoCapacity, "the engines can't read the prompt in time; it was not run",
             capacityRetryAfter());
@@ -123,7 +125,7 @@
             .with("end", attemptEndNames.name(result.end));
     // The next attempt counts as a retry if the failed prefill was sent. The route's retry rule doesn't
     // apply, since no engine has run the request.
-    bool isRetry = result.end != AttemptEnd::NotConnected;
+    bool isRetry = !isUnsent(result.end);
     if (isRetry && !context_.retryBudgetOf(service_).tryTake(now)) {
         context_.metrics.onRetryBudgetEmpty(service_);
         refuse(ErrorKind::NoCapacity,
--- a/ragwortwinch/forward/exchange_reply.cc
+++ b/ragwortwinch/forward/exchange_reply.cc
@@ -10,6 +10,13 @@
 
 namespace ragwortwinch {
 
+namespace {
+
+// Writing events to a caller whose connection is not full takes less.
+constexpr Millis maxWriteTime{5};
+
+} // namespace
+
 void Exchange::onReplyHead(int status, std::string_view reason, const HttpFields& fields)
 {
     countUsage();
@@ -53,6 +60,7 @@
         attempt_->resume();
         return;
     }
+    learnTokenTime();
     isWriting_ = true;
     std::function<void()> onWritten = [self = shared_from_this()] { self->continueStream(); };
     if (isStreamStarted_) {
@@ -62,14 +70,31 @@
     isStreamStarted_ = true;
     firstEventTime_ = context_.clock.now() - startedAt_;
     if (hasKvTransfer_)
-        context_.kvTransfer.addSample(firstEventTime_ - prefillTime_);
+        context_.kvTransfer.addSample(context_.clock.now() - sentAt_);
     context_.metrics.onFirstByte(route_->name, firstEventTime_);
     sink_->beginStream(replyHead_, std::move(events), std::move(onWritten));
 }
 
+void Exchange::learnTokenTime()
+{
+    if (!isForEngines())
+        return;
+    Instant now = context_.clock.now();
+    std::uint64_t count = events_.eventCount();
+    // While the caller took earlier events, the engine's may have waited unread.
+    if (lastEventsAt_ && !wasCallerSlow_)
+        attempt_->endpoint()->tokenTime.addTokens(
+            static_cast<std::int64_t>(count - lastEventCount_), now - *lastEventsAt_, now);
+    lastEventsAt_ = now;
+    lastEventCount_ = count;
+    wasCallerSlow_ = false;
+}
+
 void Exchange::continueStream()
 {
     isWriting_ = false;
+    if (lastEventsAt_)
+        wasCallerSlow_ = context_.clock.now() - *lastEventsAt_ > maxWriteTime;
     if (isDone_)
         return;
     if (pendingEnd_) {
@@ -125,6 +150,7 @@
         return;
     }
     settlePendingPrompt(false);
+    takeBackCache(*attempt, end);
     if (isStreamStarted_)
         onStreamEnd(end);
     else if (end == AttemptEnd::Complete)
@@ -140,9 +166,11 @@
     UpstreamEndpoint& endpoint = *attempt.endpoint();
     context_.metrics.onAttemptEnd(service_, end);
     bool isSuccess = end == AttemptEnd::Complete && !isServerError(replyStatus_);
-    if (isSuccess)
+    if (isSuccess) {
         endpoint.outcomes.onSuccess(now);
-    else if (end == AttemptEnd::NotConnected)
+        if (isForEngines())
+            context_.slotReserve->onServed(service_, priority(), now - sentAt, now);
+    } else if (end == AttemptEnd::NotConnected)
         endpoint.outcomes.onUnreachable(now);
     else if (end == AttemptEnd::Misdirected)
         endpoint.isMisdirected = true;
@@ -162,12 +190,18 @@
             .with("after_event", events_.lastId());
     if (mayHaveRun(end))
         mayHaveRun_ = true;
+    else
+        ++attemptsNotRun_;
 }
 
 void Exchange::onStreamEnd(AttemptEnd end)
 {
     if (end == AttemptEnd::Complete && isEventReply_) {
         sink_->endStream(events_.rest());
+        if (isForEngines() && events_.eventCount() > 1)
+            context_.metrics.onTokenTime(service_,
+                static_cast<double>((context_.clock.now() - startedAt_ - firstEventTime_).count())
+                    / static_cast<double>(events_.eventCount() - 1));
         finish(RequestOutcome::Answered, statusOk);
         return;
     }
@@ -217,18 +251,57 @@
     if (attemptMayHaveRun)
         ++possibleRuns_;
     // An attempt that was never sent puts no load on endpoints, so its retry is free.
-    bool isFree = lastEnd_ == AttemptEnd::NotConnected;
+    bool isFree = isUnsent(lastEnd_);
     if (!mayRetry(retryState()) || (!isFree && !takeRetry(context_.clock.now())))
         return false;
-    place();
+    if (isFree || lastEnd_ == AttemptEnd::NotExecuted || lastEnd_ == AttemptEnd::Misdirected)
+        context_.metrics.onRetryNotRun(service_, lastEnd_);
+    if (mustPrefillAgain()) {
+        hasPrefilledAgain_ = true;
+        releaseCache();
+        // Engines that could not fetch the old cache may fetch the new one.
+        tried_.clear();
+        placePrompt();
+    } else
+        place();
     return true;
 }
 
+void Exchange::takeBackCache(const Attempt& attempt, AttemptEnd end)
+{
+    if (sentCacheHolder_ && !mayHaveRun(end)) {
+        cacheSource_ = sentCacheSource_;
+        cacheHolder_ = sentCacheHolder_;
+        // Refusals of full engines and other ends say nothing about the cache.
+        const UpstreamEndpoint& endpoint = *attempt.endpoint();
+        if (end == AttemptEnd::NotExecuted && endpoint.load() < endpoint.record.slots)
+            ++refusedFetches_;
+    }
+    sentCacheSource_.clear();
+    sentCacheHolder_.reset();
+}
+
+void Exchange::releaseCache()
+{
+    if (cacheHolder_)
+        freeHandle(context_, cacheHolder_, cacheSource_.substr(cacheSource_.find('/') + 1));
+    cacheSource_.clear();
+    cacheHolder_.reset();
+}
+
+bool Exchange::mustPrefillAgain() const
+{
+    return cacheHolder_ && refusedFetches_ >= context_.options.maxRefusedFetches && !hasPrefilledAgain_
+        && !mayHaveRun_ && !isStreamStarted_;
+}
+
 RetryState Exchange::retryState() const
 {
     RetryState state;
-    state.attempts = attempts_;
+    state.attempts = attempts_ - attemptsNotRun_;
     state.maxAttempts = context_.options.maxAttempts;
+    state.attemptsNotRun = attemptsNotRun_;
+    state.maxAttemptsNotRun = context_.options.maxAttemptsNotRun;
     state.mayHaveRun = mayHaveRun_;
     state.isRepeatable = route_->mayRetry();
     state.maxEndpoints = route_->maxEndpoints;
--- a/ragwortwinch/forward/forward_context.h
+++ b/ragwortwinch/forward/forward_context.h
@@ -16,6 +16,7 @@
 #include "ragwortwinch/forward/request_log.h"
 #include "ragwortwinch/placement/endpoint_chooser.h"
 #include "ragwortwinch/placement/kv_transfer_time.h"
+#include "ragwortwinch/placement/slot_reserve.h"
 #include "ragwortwinch/placement/windowed_retry_budget.h"
 #include "ragwortwinch/usage/usage_counter.h"
 
@@ -59,6 +60,8 @@
     ChannelPool pool{};
     // Of each service.
     RetryBudgetOptions retryBudget = options.retryBudget;
+    // Slots that less urgent requests leave free.
+    std::unique_ptr<SlotReserve> slotReserve = std::make_unique<DemandSlotReserve>();
     // By service.
     std::map<std::string, WindowedRetryBudget> retryBudgets{};
     KvTransferTime kvTransfer{};
--- a/ragwortwinch/forward/forward_metrics.cc
+++ b/ragwortwinch/forward/forward_metrics.cc
@@ -9,6 +9,10 @@
 const prometheus::Histogram::BucketBoundaries latencyBuckets{
     5, 10, 20, 50, 100, 150, 200, 300, 500, 1000, 2000, 5000, 15000};
 
+// Bounds in milliseconds, from a fast small model to a large one that is slowed several times.
+const prometheus::Histogram::BucketBoundaries tokenTimeBuckets{
+    2, 5, 8, 10, 15, 20, 30, 50, 75, 100, 200, 500};
+
 prometheus::Family<prometheus::Counter>& counter(
     prometheus::Registry& registry, const char* name, const char* help)
 {
@@ -32,6 +36,8 @@
     : requests_(counter(registry, "ragwortwinch_requests_total", "Requests by route and outcome"))
     , attempts_(counter(registry, "ragwortwinch_attempts_total", "Sends to endpoints by service and end"))
     , retries_(counter(registry, "ragwortwinch_repeats_total", "Requests sent once more, by service"))
+    , retriesNotRun_(counter(registry, "ragwortwinch_repeats_not_run_total",
+          "Requests sent once more after a send that had not run, by service and its end"))
     , exhaustedRetryBudgets_(counter(registry, "ragwortwinch_repeat_budget_empty_total",
           "Requests that were not sent once more because the budget was spent"))
     , droppedSends_(counter(registry, "ragwortwinch_dropped_sends_total",
@@ -64,6 +70,12 @@
     , limitedTeams_(gauge(registry, "ragwortwinch_limited_teams", "Teams with a limit"))
     , allocation_(gauge(registry, "ragwortwinch_team_limit_allocation",
           "This VM's shares of the limits of all teams, in cost a second"))
+    , reservesApplied_(counter(registry, "ragwortwinch_reserve_applied_total",
+          "Sends to engines while slots were reserved for more urgent requests, by service"))
+    , reservedSlotsTaken_(counter(registry, "ragwortwinch_reserved_slots_taken_total",
+          "Requests that took a slot reserved for more urgent ones, since no other was free, by service"))
+    , tokenTimes_(histogram(registry, "ragwortwinch_token_milliseconds",
+          "Mean time between the events of a stream from an engine, by service"))
     , sessions_(gauge(registry, "ragwortwinch_caller_connections", "Open connections of callers"))
     , bufferedBytes_(gauge(registry, "ragwortwinch_held_bytes", "Requests and answers held in memory"))
     , lag_(gauge(registry, "ragwortwinch_forwarding_lag_milliseconds",
@@ -90,6 +102,26 @@
 
 void ForwardMetrics::onRetry(const std::string& service) { retries_.Add({{"service", service}}).Increment(); }
 
+void ForwardMetrics::onRetryNotRun(const std::string& service, AttemptEnd end)
+{
+    retriesNotRun_.Add({{"service", service}, {"end", std::string(attemptEndNames.name(end))}}).Increment();
+}
+
+void ForwardMetrics::onReserveApplied(const std::string& service)
+{
+    reservesApplied_.Add({{"service", service}}).Increment();
+}
+
+void ForwardMetrics::onReservedSlotTaken(const std::string& service)
+{
+    reservedSlotsTaken_.Add({{"service", service}}).Increment();
+}
+
+void ForwardMetrics::onTokenTime(const std::string& service, double millis)
+{
+    tokenTimes_.Add({{"service", service}}, tokenTimeBuckets).Observe(millis);
+}
+
 void ForwardMetrics::onQuarantined(const std::string& route)
 {
     quarantined_.Add({{"route", route}}).Increment();
--- a/ragwortwinch/forward/forward_metrics.h
+++ b/ragwortwinch/forward/forward_metrics.h
@@ -31,7 +31,15 @@
     void onFirstByte(const std::string& route, Millis duration);
     void onAttemptEnd(const std::string& service, AttemptEnd end);
     void onRetry(const std::string& service);
+    // A request was sent once more after an attempt that has certainly not run it.
+    void onRetryNotRun(const std::string& service, AttemptEnd end);
     void onRetryBudgetEmpty(const std::string& service);
+    // A request was sent while slots were reserved for more urgent ones.
+    void onReserveApplied(const std::string& service);
+    // A less urgent request took a reserved slot since no engine had another one.
+    void onReservedSlotTaken(const std::string& service);
+    // Mean time between the events of a stream, from the first one to its end.
+    void onTokenTime(const std::string& service, double millis);
     // A request was not sent, or not sent again, because its caller had left.
     void onSendDropped(const std::string& service);
     // A request had a prompt part in quarantine.
@@ -50,6 +58,7 @@
     prometheus::Family<prometheus::Counter>& requests_;
     prometheus::Family<prometheus::Counter>& attempts_;
     prometheus::Family<prometheus::Counter>& retries_;
+    prometheus::Family<prometheus::Counter>& retriesNotRun_;
     prometheus::Family<prometheus::Counter>& exhaustedRetryBudgets_;
     prometheus::Family<prometheus::Counter>& droppedSends_;
     prometheus::Family<prometheus::Counter>& readTooLate_;
@@ -65,6 +74,9 @@
     prometheus::Gauge& limitedTeams_;
     prometheus::Gauge& allocation_;
     AllowanceTotals allowance_;
+    prometheus::Family<prometheus::Counter>& reservesApplied_;
+    prometheus::Family<prometheus::Counter>& reservedSlotsTaken_;
+    prometheus::Family<prometheus::Histogram>& tokenTimes_;
     prometheus::Gauge& sessions_;
     prometheus::Gauge& bufferedBytes_;
     prometheus::Gauge& lag_;
--- a/ragwortwinch/forward/forward_options.h
+++ b/ragwortwinch/forward/forward_options.h
@@ -44,8 +44,15 @@
     // A prompt that can't be on time is still prefilled if its first token is expected within this fraction
     // of the time left; the rest is for errors of the estimate and for the reply after its first token.
     double lateTimeFraction = 0.6;
-    // Limit on attempts per request, including those that endpoints refused but not prefills.
+    // Limit on attempts per request that may have run it, without prefills.
     int maxAttempts = 3;
+    // Limit on attempts per request that endpoints refused or that were not sent, without prefills. While
+    // half of the engines are full, 8 refusals in a row meet one request in 256. The retry budget and the
+    // deadline bind before in an overload.
+    int maxAttemptsNotRun = 8;
+    // Limit on engines that may refuse to fetch a KV cache before the prompt is prefilled again. One may be
+    // full; if two refuse, the cache is probably gone.
+    int maxRefusedFetches = 2;
     // Limit on prefill engines that may refuse a prompt; then a decode engine prefills it.
     int maxRefusedPrefills = 2;
     // Retry-After of local 503 replies.
--- a/ragwortwinch/placement/endpoint_chooser.h
+++ b/ragwortwinch/placement/endpoint_chooser.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "ragwortwinch/base/time.h"
+#include "ragwortwinch/placement/decode_speed.h"
 #include "ragwortwinch/placement/upstream_endpoint.h"
 
 #include <cstdint>
@@ -35,6 +36,15 @@
     std::vector<const UpstreamEndpoint*> excluded;
     // Slot occupancy, as a fraction, from which a farther endpoint is used instead of a nearer one.
     double spillOccupancy = defaultSpillOccupancy;
+    // Slots at all engines together that the request leaves free for more urgent ones, if it may use others.
+    double reservedSlots = 0;
+    // Slots at all engines together that less urgent requests leave free for this one and more urgent ones; 0
+    // if there have been none lately.
+    double slotsLeftByOthers = 0;
+    // Whether engines that prefill long prompts are used only if there is no other one as near.
+    bool avoidsLongPrompts = false;
+    // Whether the reply is long, so that engines count by how fast they generate tokens.
+    bool prefersFastDecode = false;
     // Whether the request may be used to probe a suspect endpoint.
     bool mayProbe = false;
 };
@@ -64,8 +74,18 @@
 // bounded loads) unless it has much more load than the others.
 class AffinityChooser final : public EndpointChooser {
 public:
+    // By ExpectedTimePenalty.
+    AffinityChooser();
+    // `penalty` must outlive the chooser.
+    explicit AffinityChooser(const DecodePenalty& penalty)
+        : penalty_(penalty)
+    {
+    }
     UpstreamPointer choose(
         const PlacementQuery& query, const std::vector<UpstreamPointer>& candidates, Instant now) override;
+
+private:
+    const DecodePenalty& penalty_;
 };
 
 // Returns the candidates that may be used now: registered, neither draining nor misdirected, not excluded,
--- a/ragwortwinch/placement/engine_chooser.cc
+++ b/ragwortwinch/placement/engine_chooser.cc
@@ -2,6 +2,8 @@
 
 #include "ragwortwinch/placement/internal/rendezvous.h"
 
+#include "ragwortwinch/placement/slot_reserve.h"
+
 #include <algorithm>
 
 namespace ragwortwinch {
@@ -60,13 +62,23 @@
         = best(query, prompt, prefillEngines, PromptPriority::OnTime, affinityEngine);
     if (choice && choice->timeToFirstToken <= prompt.onTimeLimit)
         return choice;
-    choice = best(query, prompt, usable, PromptPriority::OnTime, affinityEngine);
-    if (choice && choice->timeToFirstToken <= prompt.onTimeLimit)
-        return choice;
-    choice = best(query, prompt, prefillEngines.empty() ? usable : prefillEngines, PromptPriority::Late,
-        affinityEngine);
-    if (choice && choice->timeToFirstToken <= prompt.lateLimit)
-        return choice;
+    std::vector<const UpstreamEndpoint*> reserved = enginesInReserve(engines, query.reservedSlots);
+    std::vector<UpstreamPointer> unreserved = usable;
+    std::erase_if(unreserved, [&](const UpstreamPointer& engine) {
+        return std::find(reserved.begin(), reserved.end(), engine.get()) != reserved.end();
+    });
+    // Reserved engines are used only for prompts that no other engine can answer at all.
+    for (const std::vector<UpstreamPointer>* candidates : {&unreserved, &usable}) {
+        choice = best(query, prompt, *candidates, PromptPriority::OnTime, affinityEngine);
+        if (choice && choice->timeToFirstToken <= prompt.onTimeLimit)
+            return choice;
+        choice = best(query, prompt, prefillEngines.empty() ? *candidates : prefillEngines,
+            PromptPriority::Late, affinityEngine);
+        if (choice && choice->timeToFirstToken <= prompt.lateLimit)
+            return choice;
+        if (unreserved.size() == usable.size())
+            break;
+    }
     return std::nullopt;
 }
 
--- a/ragwortwinch/placement/retry_decision.cc
+++ b/ragwortwinch/placement/retry_decision.cc
@@ -4,7 +4,8 @@
 
 bool mayRetry(const RetryState& state)
 {
-    if (state.isPastDeadline || state.attempts >= state.maxAttempts)
+    if (state.isPastDeadline || state.attempts >= state.maxAttempts
+        || state.attemptsNotRun >= state.maxAttemptsNotRun)
         return false;
     if (state.lostConnections >= maxLostConnections)
         return false;
--- a/ragwortwinch/placement/retry_decision.h
+++ b/ragwortwinch/placement/retry_decision.h
@@ -5,6 +5,9 @@
 //     state.attempts = 1;
 //     if (mayRetry(state)) ...
 //
+// Designed for engines of which many are full: refusals that cost a few milliseconds each don't use up the
+// attempts that a failing endpoint may need.
+//
 // The decision depends on the state alone; the retry budget and the choice of the endpoint come on top of it.
 #pragma once
 
@@ -14,9 +17,13 @@
 inline constexpr int maxLostConnections = 2;
 
 struct RetryState {
-    // Attempts so far, including those that endpoints refused, and their limit.
+    // Attempts so far that may have run the request or still run it, and their limit.
     int attempts = 0;
     int maxAttempts = 1;
+    // Attempts that have certainly not run the request, and their limit. An endpoint refused them, or no byte
+    // was sent.
+    int attemptsNotRun = 0;
+    int maxAttemptsNotRun = 1;
     // An endpoint may have run the request.
     bool mayHaveRun = false;
     // Whether the route allows to run it again, and on how many endpoints altogether.
--- a/ragwortwinch/placement/upstream_endpoint.h
+++ b/ragwortwinch/placement/upstream_endpoint.h
@@ -8,6 +8,7 @@
 #include "ragwortwinch/placement/engine_load.h"
 #include "ragwortwinch/placement/outcome_tracker.h"
 #include "ragwortwinch/placement/prompt_cache_model.h"
+#include "ragwortwinch/placement/token_time.h"
 #include "ragwortwinch/routing/endpoint_record.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -32,8 +33,9 @@
     std::int64_t running = 0;
     // Running requests of other VMs, as last reported.
     std::int64_t runningOnPeers = 0;
-    // `engineLoad` and `promptCache` are for engines only.
+    // `engineLoad`, `tokenTime` and `promptCache` are for engines only.
     EngineLoad engineLoad;
+    TokenTime tokenTime;
     PromptCacheModel promptCache;
     OutcomeTracker outcomes;
     EndpointLimit limit;
