--- a/ragwortwinch/placement/retry_decision_test.cc
+++ b/ragwortwinch/placement/retry_decision_test.cc
@@ -18,9 +18,9 @@
     int allRequests = 0;
 };
 
-// Plays one minute of 60 requests a second at one VM. In 200 ms of every 2 s, half of the engines are full and
-// refuse what they get, 4 ms after it was sent (a round trip within the region and the engine's decision).
-// Returns what became of the requests in these bursts, with a target of 150 ms.
+// Plays one minute of 60 requests a second at one VM. In 200 ms of every 2 s, half of the engines are full
+// and refuse what they get, 4 ms after it was sent (a round trip within the region and the engine's
+// decision). Returns what became of the requests in these bursts, with a target of 150 ms.
 BurstResult playBursts(bool countsRefusals, unsigned seed)
 {
     constexpr int refusalMillis = 4;
