--- a/ragwortwinch/store/mass_start_test.cc
+++ b/ragwortwinch/store/mass_start_test.cc
@@ -44,7 +44,7 @@
 private:
     struct Vm {
         explicit Vm(int number)
-            : follower({"quarantine/", "op/", "members/", "vm/"}, "", FollowerOptions{}, ids)
+            : follower({"quarantine/", "config/", "members/", "vm/"}, "", FollowerOptions{}, ids)
             , random(static_cast<std::uint32_t>(number + 1))
         {
         }
