Give the chats of the reserve's test a measurable time at their engine

Cause, read from DemandSlotReserve: the test's endpoints answered chats within a millisecond, so the mean time at an engine was 0 ms in some runs, which is no demand and therefore no reserve. The endpoints now take 20 ms for a chat; the checks are unchanged.

--- a/ragwortwinch/caller/prompt_path_test.cc
+++ b/ragwortwinch/caller/prompt_path_test.cc
@@ -3,7 +3,9 @@
 #include "testing/forward/wait_for.h"
 
 #include <algorithm>
+#include <chrono>
 #include <doctest/doctest.h>
+#include <thread>
 
 namespace ragwortwinch {
 namespace {
@@ -222,9 +224,11 @@
     fixture.setConfig(config);
     std::atomic<bool> isReleased{false};
     auto behaviour = [&](RawSocket& socket, const std::string& request) {
-        // Prompts hold their slots.
+        // Prompts hold their slots. Chats take some time, since those of 0 ms are no demand.
         if (request.starts_with("POST /prompt/"))
             waitFor([&] { return isReleased.load(); }, 5000);
+        else
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
         return streamToken(socket, request);
     };
     FakeEndpoint one(behaviour);
