Split long files by what they do, and share what tests wrote twice

platform/config_inspection.cc (838 lines) becomes the reader of the configuration, the reader of one object's members, the names of members, the locator of findings and the inspection itself. CallerSession's reading of requests, Exchange's admission and what operators see of team limits have files of their own. The fleet that the tests of team limits play is in testing/allowance/, events and paused streams of test endpoints in testing/forward/, and the service that two process tests share in platform/testing/.

--- a/ragwortwinch/allowance/team_allowance.cc
+++ b/ragwortwinch/allowance/team_allowance.cc
@@ -36,8 +36,6 @@
 constexpr Millis minRetryAfter{20};
 // A VM that rarely has its turn in an overload may have a share again by then.
 constexpr Millis maxTurnWait{5000};
-// A team without refusals for this long is within its limit again.
-constexpr Millis spellEnd{5000};
 
 double seconds(Millis time) { return static_cast<double>(time.count()) / 1000; }
 
@@ -365,57 +363,4 @@
     }
 }
 
-AllowanceTotals TeamAllowance::totals() const
-{
-    AllowanceTotals totals = totals_;
-    totals.limitedTeams = buckets_.size();
-    for (const auto& [team, bucket] : buckets_)
-        totals.allocation += share(bucket) * bucket.limit.perSecond;
-    return totals;
-}
-
-AllowanceStatus TeamAllowance::statusOf(const std::string& team, Bucket& bucket, Instant now) const
-{
-    fill(bucket, now);
-    decayDemand(bucket, now);
-    return {team, bucket.limit.perSecond, bucket.limit.burst, bucket.limit.unit, bucket.demand,
-        bucket.peerDemand, bucket.level, share(bucket) * refillRate(bucket, now)};
-}
-
-std::vector<OverLimitSpell> TeamAllowance::takeSpells(Instant now)
-{
-    std::vector<OverLimitSpell> spells;
-    for (auto& [team, bucket] : buckets_) {
-        if (!bucket.overLimitSince)
-            continue;
-        bool hasEnded = now - bucket.refusedAt >= spellEnd;
-        if (bucket.isSpellTold && !hasEnded)
-            continue;
-        spells.push_back({statusOf(team, bucket, now), bucket.refusedCost,
-            bucket.refusedAt - *bucket.overLimitSince, hasEnded});
-        bucket.isSpellTold = !hasEnded;
-        if (hasEnded) {
-            bucket.overLimitSince.reset();
-            bucket.refusedCost = 0;
-        }
-    }
-    return spells;
-}
-
-std::vector<AllowanceStatus> TeamAllowance::status(Instant now, std::size_t most)
-{
-    std::vector<AllowanceStatus> teams;
-    for (auto& [team, bucket] : buckets_)
-        teams.push_back(statusOf(team, bucket, now));
-    auto isBusier = [](const AllowanceStatus& left, const AllowanceStatus& right) {
-        double leftDemand = left.ownDemand + left.peerDemand;
-        double rightDemand = right.ownDemand + right.peerDemand;
-        return leftDemand != rightDemand ? leftDemand > rightDemand : left.team < right.team;
-    };
-    std::sort(teams.begin(), teams.end(), isBusier);
-    if (teams.size() > most)
-        teams.resize(most);
-    return teams;
-}
-
 } // namespace ragwortwinch
--- a/ragwortwinch/allowance/team_allowance_test.cc
+++ b/ragwortwinch/allowance/team_allowance_test.cc
@@ -1,210 +1,18 @@
 #include "ragwortwinch/allowance/team_allowance.h"
-#include "testing/protocol/virtual_time.h"
+#include "testing/allowance/team_fleet.h"
 
-#include <cmath>
-#include <deque>
 #include <doctest/doctest.h>
-#include <functional>
-#include <memory>
-#include <random>
 
 namespace ragwortwinch {
 namespace {
 
-constexpr QuotaRule rule{Millis(8000), 0.1, 120000};
-const TeamLimit largeLimit{2244759, 2244759, LimitUnit::Tokens, 0};
-const TeamLimit smallLimit{29000, 29000, LimitUnit::Tokens, 0};
-// Between two news of a VM, and on their way between regions.
-constexpr Millis newsInterval{200};
-constexpr Millis newsDelay{20};
-constexpr Millis step{10};
-constexpr const char* team = "t1";
-constexpr double surge = 7.5;
-
-// Which VMs are cut off from the others.
-enum class Cut { None, One, Half, All };
-
-double allowedIn(const TeamLimit& limit)
-{
-    return (limit.perSecond * 8 + limit.burst) * (1 + rule.overshoot) + rule.slack;
-}
-
-// VMs that exchange news in virtual time, and the callers of one team.
-class Fleet {
-public:
-    // The decision of this package, and the alternatives that docs/design/team-limits.md weighs.
-    enum class Decision {
-        Shared,
-        EqualParts,
-        // One VM decides for all, without the time of the way to it and without failures.
-        HomeVm,
-    };
-
-    Fleet(std::size_t vms, const TeamLimit& limit, Decision decision = Decision::Shared)
-        : limit_(limit)
-        , decision_(decision)
-        , vms_(vms)
-        , weights_(vms, 1)
-    {
-        for (std::size_t vm = 0; vm < vms; ++vm) {
-            vms_[vm].name = "vm" + std::to_string(vm);
-            vms_[vm].limit = limit;
-            start(vm, time_.now() - Millis(60000));
-            time_.after(newsInterval * vm / vms, [this, vm] { sendNews(vm); });
-        }
-        time_.after(step, [this] { ask(); });
-    }
-
-    // Asks for `rate` tokens a second, at VMs in proportion to `weights`.
-    void setDemand(double rate) { rate_ = rate; }
-    void setWeights(std::vector<double> weights) { weights_ = std::move(weights); }
-    void setLimit(std::size_t vm, const std::optional<TeamLimit>& limit)
-    {
-        vms_[vm].limit = limit;
-        applyLimit(vm);
-    }
-    void setLimit(const TeamLimit& limit)
-    {
-        limit_ = limit;
-        for (std::size_t vm = 0; vm < vms_.size(); ++vm)
-            setLimit(vm, limit);
-    }
-    void removeLimit(std::size_t vm) { setLimit(vm, std::nullopt); }
-    void cut(Cut cut)
-    {
-        for (std::size_t vm = 0; vm < vms_.size(); ++vm) {
-            bool isFirst = cut == Cut::One ? vm == 0 : vm < vms_.size() / 2;
-            vms_[vm].group = cut == Cut::None ? 0 : cut == Cut::All ? static_cast<int>(vm) : isFirst;
-        }
-    }
-    TeamAllowance& allowance(std::size_t vm) { return *vms_[vm].allowance; }
-    Instant now() const { return time_.now(); }
-    void restart(std::size_t vm) { start(vm, time_.now()); }
-
-    void run(Millis duration) { time_.runUntil(time_.now() + duration); }
-
-    // Lets the bucket fill after an overload, then counts below the limit: the team must not stay refused.
-    void recover(const TeamLimit& limit)
-    {
-        setDemand(limit.perSecond * 0.4);
-        run(Millis(9000));
-        setDemand(limit.perSecond * 0.8);
-        startCount();
-        run(Millis(3000));
-    }
-
-    void startCount()
-    {
-        asked_ = admitted_ = worst_ = inWindow_ = 0;
-        window_.clear();
-    }
-    double asked() const { return asked_; }
-    double admitted() const { return admitted_; }
-    // The greatest sum in any window since `startCount`.
-    double worstWindow() const { return worst_; }
-    double admittedPart() const { return admitted_ / asked_; }
-    // `worstWindow` as a part of what the rule allows.
-    double usedOfRule() const { return worst_ / allowedIn(limit_); }
-
-private:
-    struct Vm {
-        std::string name;
-        std::unique_ptr<TeamAllowance> allowance;
-        std::uint64_t incarnation = 0;
-        int group = 0;
-        std::optional<TeamLimit> limit;
-    };
-
-    std::size_t vmsOfDecision() const { return decision_ == Decision::Shared ? vms_.size() : 1; }
-
-    void start(std::size_t vm, Instant startedAt)
-    {
-        Vm& entry = vms_[vm];
-        entry.incarnation = ++incarnations_;
-        QuotaRule ownRule = rule;
-        if (decision_ == Decision::EqualParts)
-            ownRule.slack /= static_cast<double>(vms_.size());
-        entry.allowance = std::make_unique<TeamAllowance>(ownRule, entry.name, startedAt);
-        applyLimit(vm);
-        entry.allowance->setVmCount(vmsOfDecision(), time_.now());
-    }
-
-    void applyLimit(std::size_t vm)
-    {
-        std::map<std::string, TeamLimit> limits;
-        if (vms_[vm].limit) {
-            TeamLimit limit = *vms_[vm].limit;
-            if (decision_ == Decision::EqualParts) {
-                limit.perSecond /= static_cast<double>(vms_.size());
-                limit.burst /= static_cast<double>(vms_.size());
-            }
-            limits[team] = limit;
-        }
-        vms_[vm].allowance->setTeams(limits, time_.now());
-    }
-
-    void sendNews(std::size_t from)
-    {
-        time_.after(newsInterval, [this, from] { sendNews(from); });
-        Vm& sender = vms_[from];
-        Instant now = time_.now();
-        sender.allowance->setVmCount(vmsOfDecision(), now);
-        if (decision_ != Decision::Shared)
-            return;
-        std::vector<TeamDemand> reports = sender.allowance->takeReports(now);
-        time_.after(newsDelay,
-            [this, from, group = sender.group, incarnation = sender.incarnation,
-                reports = std::move(reports)] {
-                for (std::size_t to = 0; to < vms_.size(); ++to) {
-                    if (to == from || vms_[to].group != group)
-                        continue;
-                    vms_[to].allowance->onHeard(vms_[from].name, time_.now());
-                    vms_[to].allowance->onReports(vms_[from].name, incarnation, reports, time_.now());
-                }
-            });
-    }
-
-    void ask()
-    {
-        time_.after(step, [this] { ask(); });
-        Instant now = time_.now();
-        while (!window_.empty() && window_.front().first <= now - rule.window) {
-            inWindow_ -= window_.front().second;
-            window_.pop_front();
-        }
-        double perStep = rate_ * static_cast<double>(step.count()) / 1000 / meanCost_;
-        int requests = std::poisson_distribution<int>(std::max(perStep, 1e-9))(random_);
-        std::discrete_distribution<std::size_t> choose(weights_.begin(), weights_.end());
-        for (int request = 0; request < requests; ++request) {
-            double cost = std::uniform_real_distribution<double>(7000, 11000)(random_);
-            std::size_t asked = choose(random_);
-            Vm& vm = vms_[decision_ == Decision::HomeVm ? 0 : asked];
-            asked_ += cost;
-            AdmissionDecision decision = vm.allowance->admit(team, cost, now);
-            if (!decision.isAdmitted)
-                continue;
-            admitted_ += cost;
-            window_.emplace_back(now, cost);
-            inWindow_ += cost;
-            worst_ = std::max(worst_, inWindow_);
-        }
-    }
-
-    protocol::VirtualTime time_;
-    TeamLimit limit_;
-    Decision decision_;
-    std::vector<Vm> vms_;
-    std::vector<double> weights_;
-    std::mt19937 random_{1};
-    double meanCost_ = 9000;
-    double rate_ = 0;
-    std::uint64_t incarnations_ = 0;
-    double asked_ = 0;
-    double admitted_ = 0;
-    double worst_ = 0;
-    double inWindow_ = 0;
-    std::deque<std::pair<Instant, double>> window_;
-};
+using testing::Cut;
+using testing::largeLimit;
+using testing::rule;
+using testing::smallLimit;
+using testing::surge;
+using testing::team;
+using testing::TeamFleet;
 
 std::vector<double> onlyFirst(std::size_t vms)
 {
@@ -225,8 +33,9 @@
     {300, largeLimit, "large"}, {8, smallLimit, "small"}, {78, smallLimit, "small"},
     {300, smallLimit, "small"}};
 
-const std::vector<std::pair<Fleet::Decision, std::string>> decisions{{Fleet::Decision::Shared, "shared"},
-    {Fleet::Decision::EqualParts, "equal parts"}, {Fleet::Decision::HomeVm, "home VM"}};
+const std::vector<std::pair<TeamFleet::Decision, std::string>> decisions{
+    {TeamFleet::Decision::Shared, "shared"}, {TeamFleet::Decision::EqualParts, "equal parts"},
+    {TeamFleet::Decision::HomeVm, "home VM"}};
 
 // Guards against limits that are exceeded while the VMs don't know yet what the others admit.
 TEST_CASE("a team that suddenly asks for 7.5 times its limit at all VMs stays within the rule")
@@ -234,15 +43,15 @@
     for (const Scenario& scenario : scenarios) {
         for (const auto& [decision, name] : decisions) {
             // Only the figures of the alternatives, for the design note.
-            if (decision == Fleet::Decision::Shared)
+            if (decision == TeamFleet::Decision::Shared)
                 continue;
-            Fleet fleet(scenario.vms, scenario.limit, decision);
+            TeamFleet fleet(scenario.vms, scenario.limit, decision);
             fleet.setDemand(scenario.limit.perSecond * surge);
             fleet.run(Millis(10000));
             MESSAGE(scenario.text(), " surge ", name, ": used ", fleet.usedOfRule());
         }
         for (double before : {0.0, 1.0}) {
-            Fleet fleet(scenario.vms, scenario.limit);
+            TeamFleet fleet(scenario.vms, scenario.limit);
             fleet.setDemand(scenario.limit.perSecond * before);
             fleet.run(Millis(2000));
             fleet.setDemand(scenario.limit.perSecond * surge);
@@ -263,14 +72,14 @@
     for (const Scenario& scenario : scenarios) {
         for (bool isOneVm : {false, true}) {
             for (const auto& [decision, name] : decisions) {
-                Fleet fleet(scenario.vms, scenario.limit, decision);
+                TeamFleet fleet(scenario.vms, scenario.limit, decision);
                 fleet.setDemand(scenario.limit.perSecond * 0.8);
                 if (isOneVm)
                     fleet.setWeights(onlyFirst(scenario.vms));
                 fleet.run(Millis(4000));
                 fleet.startCount();
                 fleet.run(Millis(8000));
-                bool isShared = decision == Fleet::Decision::Shared;
+                bool isShared = decision == TeamFleet::Decision::Shared;
                 MESSAGE(scenario.text(), std::string(isOneVm ? " one VM " : " all VMs "), name, ": admitted ",
                     fleet.admittedPart());
                 if (isShared) {
@@ -286,7 +95,7 @@
 TEST_CASE("a team is refused next to nothing when all its callers move to another VM")
 {
     for (const Scenario& scenario : scenarios) {
-        Fleet fleet(scenario.vms, scenario.limit);
+        TeamFleet fleet(scenario.vms, scenario.limit);
         fleet.setDemand(scenario.limit.perSecond * 0.8);
         fleet.setWeights(onlyFirst(scenario.vms));
         fleet.run(Millis(2000));
@@ -309,7 +118,7 @@
             for (double before : {0.8, surge}) {
                 if (scenario.vms == 300 && (cut == Cut::One || before < 1 || scenario.limit == smallLimit))
                     continue;
-                Fleet fleet(scenario.vms, scenario.limit);
+                TeamFleet fleet(scenario.vms, scenario.limit);
                 fleet.setDemand(scenario.limit.perSecond * before);
                 fleet.run(Millis(2000));
                 fleet.cut(cut);
@@ -332,7 +141,7 @@
 TEST_CASE("while one VM is cut off, a team below its limit is admitted at the others")
 {
     for (const Scenario& scenario : scenarios) {
-        Fleet fleet(scenario.vms, scenario.limit);
+        TeamFleet fleet(scenario.vms, scenario.limit);
         fleet.setDemand(scenario.limit.perSecond * 0.7);
         std::vector<double> weights(scenario.vms, 1);
         weights[0] = 0;
@@ -353,7 +162,7 @@
         for (double demand : {1.0, surge}) {
             if (scenario.vms == 300 && (demand < surge || scenario.limit == smallLimit))
                 continue;
-            Fleet fleet(scenario.vms, scenario.limit);
+            TeamFleet fleet(scenario.vms, scenario.limit);
             fleet.setDemand(scenario.limit.perSecond * demand);
             fleet.run(Millis(2000));
             fleet.restart(0);
@@ -380,7 +189,7 @@
 {
     for (std::size_t vms : {8, 78, 300}) {
         CAPTURE(vms);
-        Fleet fleet(vms, largeLimit);
+        TeamFleet fleet(vms, largeLimit);
         fleet.setDemand(largeLimit.perSecond * 2);
         fleet.run(Millis(2000));
         for (std::size_t vm = 0; vm < vms; ++vm) {
@@ -457,7 +266,7 @@
 
 TEST_CASE("requests up to 60,000 tokens of a team with a small limit are admitted by a full bucket")
 {
-    Fleet fleet(78, smallLimit);
+    TeamFleet fleet(78, smallLimit);
     TeamAllowance& allowance = fleet.allowance(0);
     fleet.run(Millis(20000));
     CHECK(allowance.admit(team, 60000, fleet.now()).isAdmitted);
--- a/ragwortwinch/caller/caller_connection_test.cc
+++ b/ragwortwinch/caller/caller_connection_test.cc
@@ -1,4 +1,5 @@
 // Requests on connections that a ForwardServer closes: around a planned stop, and while the server is behind.
+#include "testing/forward/event_replies.h"
 #include "testing/forward/forward_fixture.h"
 #include "testing/forward/wait_for.h"
 
@@ -15,11 +16,10 @@
 using testing::FakeEndpoint;
 using testing::fieldOf;
 using testing::ForwardFixture;
+using testing::lastChunk;
 using testing::RawSocket;
 using testing::waitFor;
 
-constexpr const char* lastChunk = "0\r\n\r\n";
-
 // Answers requests to /single/ with one event and ends that stream when told to; answers others at once.
 class StreamingEndpoint {
 public:
--- a/ragwortwinch/caller/close_delimited_test.cc
+++ b/ragwortwinch/caller/close_delimited_test.cc
@@ -1,4 +1,5 @@
 // Streams without a length or chunks, whose end is the end of the connection, through a ForwardServer.
+#include "testing/forward/event_replies.h"
 #include "testing/forward/forward_fixture.h"
 
 #include <atomic>
@@ -7,23 +8,18 @@
 namespace ragwortwinch {
 namespace {
 
+using testing::event;
 using testing::FakeEndpoint;
 using testing::fieldOf;
 using testing::ForwardFixture;
+using testing::lastChunk;
 using testing::RawSocket;
 
-constexpr const char* lastChunk = "0\r\n\r\n";
-
 std::string head(const std::string& request)
 {
     return "HTTP/1.1 200 OK\r\nId: " + fieldOf(request, "Id") + "\r\nContent-Type: text/event-stream\r\n\r\n";
 }
 
-std::string event(int number)
-{
-    return "id: " + std::to_string(number) + "\ndata: piece" + std::to_string(number) + "\n\n";
-}
-
 // Returns the answer to a request on `path` when the endpoint sends `body` and closes the connection.
 std::string answerThrough(const std::string& path, const std::string& body)
 {
--- a/ragwortwinch/caller/early_end_test.cc
+++ b/ragwortwinch/caller/early_end_test.cc
@@ -1,5 +1,6 @@
 // Replies that end early, cut at every byte in every framing, through a ForwardServer: a caller must never
 // get one as complete.
+#include "testing/forward/event_replies.h"
 #include "testing/forward/forward_fixture.h"
 
 #include <doctest/doctest.h>
@@ -11,6 +12,7 @@
 namespace {
 
 using testing::chunkOf;
+using testing::event;
 using testing::FakeEndpoint;
 using testing::fieldOf;
 using testing::ForwardFixture;
@@ -35,11 +37,6 @@
 
 constexpr int lastEvent = 3;
 
-std::string event(int number)
-{
-    return "id: " + std::to_string(number) + "\ndata: piece" + std::to_string(number) + "\n\n";
-}
-
 // Returns the events after `after`, up to the last one.
 std::string eventsAfter(int after)
 {
--- a/ragwortwinch/caller/foreign_reply_test.cc
+++ b/ragwortwinch/caller/foreign_reply_test.cc
@@ -1,5 +1,6 @@
 // Replies with the id of a request and a status of success that the endpoint itself has not produced: without
 // its signature, or with an encoded body.
+#include "testing/forward/event_replies.h"
 #include "testing/forward/forward_fixture.h"
 
 #include <atomic>
@@ -10,25 +11,15 @@
 
 using testing::answerTo;
 using testing::chunkOf;
+using testing::event;
 using testing::FakeEndpoint;
-using testing::fieldOf;
 using testing::ForwardFixture;
+using testing::lastChunk;
 using testing::RawSocket;
+using testing::streamHead;
 
-constexpr const char* lastChunk = "0\r\n\r\n";
 const std::string foreignFields[] = {"Unsigned: 1\r\n", "Content-Encoding: gzip\r\n"};
 
-std::string event(int number)
-{
-    return "id: " + std::to_string(number) + "\ndata: piece" + std::to_string(number) + "\n\n";
-}
-
-std::string streamHead(const std::string& request, const std::string& extra = "")
-{
-    return "HTTP/1.1 200 OK\r\nId: " + fieldOf(request, "Id") + "\r\n" + extra
-        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-}
-
 std::string foreignReply(const std::string& request, int status, const std::string& extra)
 {
     std::string reply = answerTo(request, "wrong bytes", status);
--- a/ragwortwinch/caller/forward_server_test.cc
+++ b/ragwortwinch/caller/forward_server_test.cc
@@ -1,3 +1,4 @@
+#include "testing/forward/event_replies.h"
 #include "testing/forward/forward_fixture.h"
 #include "testing/forward/wait_for.h"
 
@@ -9,24 +10,15 @@
 
 using testing::answerTo;
 using testing::chunkOf;
+using testing::event;
 using testing::FakeEndpoint;
 using testing::fieldOf;
 using testing::ForwardFixture;
+using testing::lastChunk;
 using testing::RawSocket;
+using testing::streamHead;
 using testing::waitFor;
 
-constexpr const char* lastChunk = "0\r\n\r\n";
-
-std::string streamHead(const std::string& request)
-{
-    return "HTTP/1.1 200 OK\r\nId: " + fieldOf(request, "Id") + "\r\nTransfer-Encoding: chunked\r\n\r\n";
-}
-
-std::string event(int number)
-{
-    return "id: " + std::to_string(number) + "\ndata: piece" + std::to_string(number) + "\n\n";
-}
-
 bool answerOk(RawSocket& socket, const std::string& request)
 {
     socket.send(answerTo(request, "fine"));
@@ -376,56 +368,5 @@
     CHECK(counted == 1);
 }
 
-// Guards against 503 for a request that has not run while another endpoint has room.
-TEST_CASE("a request that may run once is answered after more refusals than attempts that may run it")
-{
-    ForwardFixture fixture;
-    fixture.setConfig(ForwardFixture::sampleConfig());
-    auto refuse = [](RawSocket& socket, const std::string& request) {
-        socket.send("HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nId: " + fieldOf(request, "Id")
-            + "\r\nContent-Length: 0\r\n\r\n");
-        return true;
-    };
-    FakeEndpoint free([](RawSocket& socket, const std::string& request) {
-        socket.send(answerTo(request, "fine"));
-        return true;
-    });
-    FakeEndpoint one(refuse);
-    FakeEndpoint two(refuse);
-    FakeEndpoint three(refuse);
-    FakeEndpoint four(refuse);
-    // The last one to be chosen, as the search for the first request goes.
-    fixture.setEndpoints({&one, &two, &three, &four, &free});
-    RawSocket caller = fixture.connect();
-    caller.send(ForwardFixture::request("/once/a", "r1"));
-    CHECK(caller.readMessage().starts_with("HTTP/1.1 200 "));
-    CHECK(free.requests().size() == 1);
-    CHECK(one.requests().size() + two.requests().size() + three.requests().size() + four.requests().size()
-        == 4);
-}
-
-TEST_CASE("a request that may run once is answered after more refused connections than attempts")
-{
-    ForwardFixture fixture;
-    fixture.setConfig(ForwardFixture::sampleConfig());
-    auto answer = [](RawSocket& socket, const std::string& request) {
-        socket.send(answerTo(request, "fine"));
-        return true;
-    };
-    FakeEndpoint free(answer);
-    FakeEndpoint one(answer);
-    FakeEndpoint two(answer);
-    FakeEndpoint three(answer);
-    FakeEndpoint four(answer);
-    for (FakeEndpoint* closed : {&one, &two, &three, &four})
-        closed->stopListening();
-    // The last one to be chosen, as the search for the first request goes.
-    fixture.setEndpoints({&one, &two, &three, &four, &free});
-    RawSocket caller = fixture.connect();
-    caller.send(ForwardFixture::request("/once/a", "r1"));
-    CHECK(caller.readMessage().starts_with("HTTP/1.1 200 "));
-    CHECK(free.requests().size() == 1);
-}
-
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/caller/silent_endpoint_test.cc
+++ b/ragwortwinch/caller/silent_endpoint_test.cc
@@ -1,7 +1,9 @@
 // Sound endpoints that fall silent for a while and go on, through a ForwardServer: no request ends sooner for
 // it. Endpoints that stay silent are replaced where another one takes the request.
 #include "ragwortwinch/placement/retry_decision.h"
+#include "testing/forward/event_replies.h"
 #include "testing/forward/forward_fixture.h"
+#include "testing/forward/paused_stream.h"
 #include "testing/forward/wait_for.h"
 
 #include <atomic>
@@ -13,69 +15,25 @@
 namespace {
 
 using testing::answerTo;
+using testing::checkWhole;
 using testing::chunkOf;
+using testing::event;
 using testing::FakeEndpoint;
-using testing::fieldOf;
 using testing::ForwardFixture;
+using testing::lastChunk;
+using testing::Pause;
+using testing::pauseTime;
 using testing::RawSocket;
+using testing::replacedPauseTime;
+using testing::stream;
 using testing::waitFor;
 
-constexpr const char* lastChunk = "0\r\n\r\n";
-constexpr int eventCount = 4;
-// Longer than the first-byte timeout (600 ms) and the gap timeout (500 ms) of the sample routes.
-constexpr std::chrono::milliseconds pauseTime{900};
-// Longer than a stream's endpoint may pause before it is replaced.
-constexpr std::chrono::milliseconds replacedPauseTime{1700};
-// Callers leave a stream after a gap of this length.
-constexpr int callerPatienceMillis = 2000;
-
-// Where the reply pauses: before its head, or before the event of this number.
-enum class Pause { None, BeforeHead, BeforeFirst, BeforeThird };
-
-std::string event(int number)
-{
-    return "id: " + std::to_string(number) + "\ndata: piece" + std::to_string(number) + "\n\n";
-}
-
-// Streams the events after the one that the request names. Returns whether the connection was open to the
-// end.
-bool stream(RawSocket& socket, const std::string& request, Pause pause,
-    std::chrono::milliseconds pauseLength = pauseTime)
-{
-    auto pauseIf = [&](Pause here) {
-        if (pause == here)
-            std::this_thread::sleep_for(pauseLength);
-    };
-    std::string after = fieldOf(request, "Last-Event-Id");
-    pauseIf(Pause::BeforeHead);
-    socket.send("HTTP/1.1 200 OK\r\nId: " + fieldOf(request, "Id")
-        + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
-    pauseIf(Pause::BeforeFirst);
-    for (int number = after.empty() ? 1 : std::stoi(after) + 1; number <= eventCount; ++number) {
-        if (number == 3)
-            pauseIf(Pause::BeforeThird);
-        socket.send(chunkOf(event(number)));
-    }
-    socket.send(lastChunk);
-    return true;
-}
-
 std::string refusal(const std::string& request)
 {
     std::string reply = answerTo(request, "full", 503);
     return reply.insert(reply.find("Content-Length"), "Not-Run: 1\r\n");
 }
 
-void checkWhole(const std::string& answer)
-{
-    CHECK(answer.ends_with(lastChunk));
-    for (int number = 1; number <= eventCount; ++number) {
-        std::string piece = "piece" + std::to_string(number) + "\n";
-        CHECK(answer.find(piece) != std::string::npos);
-        CHECK(answer.find(piece) == answer.rfind(piece));
-    }
-}
-
 // Returns the answer to a stream's request when every endpoint replies by `behaviour`.
 std::string streamThrough(int endpointCount, int maxEndpoints, const FakeEndpoint::Behaviour& behaviour)
 {
@@ -251,68 +209,6 @@
     }
 }
 
-// Guards against streams that callers leave because the replacement of an endpoint that pauses pauses as
-// well, so that the caller waits for the gap timeout and a whole pause.
-TEST_CASE("a stream whose endpoints all pause for 1.3 s reaches a caller that leaves after a gap of 2 s")
-{
-    constexpr std::chrono::milliseconds longPause{1300};
-    for (int endpointCount : {1, 2, 3}) {
-        CAPTURE(endpointCount);
-        ForwardFixture fixture;
-        TrafficConfig config = ForwardFixture::sampleConfig();
-        for (TrafficRoute& route : config.routes) {
-            route.targetGap = Millis(150);
-            route.timeout = Millis(5000);
-        }
-        fixture.setConfig(config);
-        FakeEndpoint::Behaviour behaviour = [&](RawSocket& socket, const std::string& request) {
-            return stream(socket, request, Pause::BeforeThird, longPause);
-        };
-        std::vector<std::unique_ptr<FakeEndpoint>> endpoints;
-        std::vector<const FakeEndpoint*> pointers;
-        for (int number = 0; number < endpointCount; ++number) {
-            endpoints.push_back(std::make_unique<FakeEndpoint>(behaviour));
-            pointers.push_back(endpoints.back().get());
-        }
-        fixture.setEndpoints(pointers);
-        RawSocket caller = fixture.connect();
-        caller.send(ForwardFixture::request("/events/a", "r1"));
-        std::string answer = caller.readUntil("piece2\n\n");
-        answer += caller.readUntil(lastChunk, callerPatienceMillis);
-        checkWhole(answer);
-    }
-}
-
-// Guards against a caller that waits as long for an endpoint whose process has ended as for one that pauses.
-TEST_CASE("a silent stream moves on at once when its endpoint refuses connections")
-{
-    ForwardFixture fixture;
-    fixture.setConfig(ForwardFixture::sampleConfig());
-    std::atomic<bool> isFirst{true};
-    std::unique_ptr<FakeEndpoint> endpoints[2];
-    FakeEndpoint::Behaviour behaviour = [&](RawSocket& socket, const std::string& request) {
-        if (!isFirst.exchange(false))
-            return stream(socket, request, Pause::None);
-        socket.send("HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkOf(event(1)));
-        for (const std::unique_ptr<FakeEndpoint>& endpoint : endpoints) {
-            if (endpoint->connections() > 0)
-                endpoint->stopListening();
-        }
-        socket.waitForInput(3000);
-        return false;
-    };
-    for (std::unique_ptr<FakeEndpoint>& endpoint : endpoints)
-        endpoint = std::make_unique<FakeEndpoint>(behaviour);
-    fixture.setEndpoints({endpoints[0].get(), endpoints[1].get()});
-    RawSocket caller = fixture.connect();
-    caller.send(ForwardFixture::request("/events/a", "r1"));
-    std::string answer = caller.readUntil("piece1\n\n");
-    std::chrono::steady_clock::time_point start = std::chrono::steady_clock::now();
-    answer += caller.readUntil(lastChunk, callerPatienceMillis);
-    checkWhole(answer);
-    CHECK(std::chrono::steady_clock::now() - start < std::chrono::milliseconds(1300));
-}
-
 TEST_CASE("an endpoint that stays silent is replaced, and its run is stopped")
 {
     for (bool hasBegun : {false, true}) {
--- a/ragwortwinch/ctl/config_check.cc
+++ b/ragwortwinch/ctl/config_check.cc
@@ -1,6 +1,7 @@
 #include "ragwortwinch/ctl/config_check.h"
 
 #include "platform/config_inspection.h"
+#include "platform/config_names.h"
 #include "ragwortwinch/config/settings.h"
 #include "ragwortwinch/ctl/admin_client.h"
 #include "ragwortwinch/ctl/commands.h"
