--- a/review/6/main.cc
+++ b/review/6/main.cc
@@ -200,13 +200,14 @@
 
     std::vector<Clock::time_point> impaired;
     while (record.now() + gracePeriod.count() + upTime.count() < caseTime.count()) {
-        std::string holder = holderOf(platform);
-        if (holder.empty()) {
+        std::vector<DutyCall> calls = platform.dutyCalls();
+        if (calls.empty()) {
             sleepFor(Millis(200));
             continue;
         }
+        std::string holder = calls.back().holder;
         Machine& stopped = holder == first.name() ? first : second;
-        record.line(stopped.name() + " holds the duty and gets SIGTERM");
+        record.line(stopped.name() + " made the last call and gets SIGTERM");
         if (isTroubled())
             lostWrites.arm();
         stopped.stop(gracePeriod);
--- a/review/stand_in-2/deployment.h
+++ b/review/stand_in-2/deployment.h
@@ -194,6 +194,16 @@
         pid_ = -1;
     }
 
+    // What the process holds of the machine's memory; 0 if it doesn't run.
+    double residentMegabytes() const
+    {
+        std::ifstream file("/proc/" + std::to_string(pid_) + "/statm");
+        double total = 0;
+        double resident = 0;
+        file >> total >> resident;
+        return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / (1024 * 1024);
+    }
+
     bool isReady() const
     {
         Channel channel = Channel::connectTo(ip_, readyPort);
--- a/review/stand_in-2/http.h
+++ b/review/stand_in-2/http.h
@@ -193,6 +193,13 @@
         return message;
     }
 
+    // Returns what arrives until the end of the connection, or until nothing arrives for `timeout`.
+    std::string readToEnd(Millis timeout)
+    {
+        while (readMore(timeout)) { }
+        return std::move(unused_);
+    }
+
     // Whether the other end has closed or reset the connection.
     bool hasEnded() const
     {
