Renew the lease to which a key is attached, not that of its last write

Cause: PlatformStore remembered the newest lease of each key, before the write under it was answered. A holder whose first write was carried out late found its value and took the duty, but renewed the lease of its second write, which had been refused. Renewals succeed without a key, so it kept on after the key had gone and another VM had taken the duty: the platform got usage reports of both by turns. Change: answers to writes and reads name the key's lease; LeaseKeeper and VmRegistration keep it and renewals name it.

--- a/ragwortwinch/lease/lease_keeper.cc
+++ b/ragwortwinch/lease/lease_keeper.cc
@@ -46,7 +46,7 @@
     if (state_ == LeaseState::Held && now >= nextRenewalAt_ && pendingOp_ == 0) {
         pendingOp_ = ids_.next();
         pendingSentAt_ = now;
-        return {StoreOp::keepAlive(pendingOp_, key(), revision_, options_.ttl)};
+        return {StoreOp::keepAlive(pendingOp_, key(), revision_, options_.ttl, storeLease_)};
     }
     if (state_ == LeaseState::Idle && isWanted_ && now >= nextAttemptAt_)
         return read(now);
@@ -151,6 +151,7 @@
 {
     epoch_ = makeFencingToken(answer.era, answer.revision);
     revision_ = answer.revision;
+    storeLease_ = answer.lease;
     checkInvariant(epoch_ > lastEpoch_, "lease.epoch_grows");
     lastEpoch_ = epoch_;
     holder_ = node_;
@@ -164,7 +165,11 @@
         onLost(now, "answer_too_late");
         return;
     }
-    LogEvent("lease.acquired").with("duty", duty_).with("epoch", epoch_).with("quiet", needsQuietPeriod);
+    LogEvent("lease.acquired")
+        .with("duty", duty_)
+        .with("epoch", epoch_)
+        .with("quiet", needsQuietPeriod)
+        .with("store_lease", storeLease_);
 }
 
 void LeaseKeeper::onRenewAnswer(Instant now, const StoreAnswer& answer)
--- a/ragwortwinch/lease/lease_keeper.h
+++ b/ragwortwinch/lease/lease_keeper.h
@@ -106,8 +106,9 @@
     Instant unconfirmedSentAt_;
     bool isAcquiringReleasedLease_ = false;
     std::uint64_t epoch_ = 0;
-    // The store's revision of the acquisition.
+    // The store's revision of the acquisition, and the store's lease to which the key is attached.
     std::uint64_t revision_ = 0;
+    std::uint64_t storeLease_ = 0;
     std::uint64_t lastEpoch_ = 0;
     Instant authorityEnd_;
     Instant acquiredAt_;
--- a/ragwortwinch/membership/vm_registration.cc
+++ b/ragwortwinch/membership/vm_registration.cc
@@ -2,6 +2,8 @@
 
 #include "ragwortwinch/base/json.h"
 
+#include <utility>
+
 namespace ragwortwinch {
 
 namespace {
@@ -54,7 +56,7 @@
         return {std::move(op)};
     }
     if (isRegistered_)
-        return {StoreOp::keepAlive(pendingOp_, key(), 0, ttl_)};
+        return {StoreOp::keepAlive(pendingOp_, key(), 0, ttl_, storeLease_)};
     StoreOp op = StoreOp::put(pendingOp_, key(), encodeVmEntry(self_), 0, ttl_);
     // An entry of this VM's previous process may still exist.
     op.expectedRevision.reset();
@@ -67,7 +69,8 @@
         return {};
     pendingOp_ = 0;
     if (answer.isOk()) {
-        isRegistered_ = true;
+        if (!std::exchange(isRegistered_, true))
+            storeLease_ = answer.lease;
         nextCall_ = now + ttl_ / 3;
         return {};
     }
--- a/ragwortwinch/membership/vm_registration.h
+++ b/ragwortwinch/membership/vm_registration.h
@@ -43,6 +43,8 @@
     OpIds& ids_;
     Millis ttl_;
     std::uint64_t pendingOp_ = 0;
+    // The store's lease to which the entry is attached.
+    std::uint64_t storeLease_ = 0;
     bool isRegistered_ = false;
     bool isRemovalRequested_ = false;
     bool isRemovalSent_ = false;
--- a/ragwortwinch/store/store_op.h
+++ b/ragwortwinch/store/store_op.h
@@ -18,7 +18,7 @@
 enum class StoreVerb {
     Get,
     Put,
-    // Restarts the ttl of a key.
+    // Restarts the ttl of a key, or of the lease that the operation names.
     KeepAlive,
     Delete,
     List,
@@ -70,6 +70,8 @@
     Millis ttl{0};
     // Only keys after this one are listed, by stores that list in pages.
     std::string after = {};
+    // The lease to renew, by stores that attach expiring keys to leases.
+    std::uint64_t lease = 0;
 
     static StoreOp get(std::uint64_t id, std::string key)
     {
@@ -84,9 +86,12 @@
     {
         return {id, StoreVerb::Put, std::move(key), std::move(value), expected, ttl};
     }
-    static StoreOp keepAlive(std::uint64_t id, std::string key, std::uint64_t expected, Millis ttl)
+    // `lease` is the one that the answer named which showed the key at revision `expected`. Renewing another
+    // lease succeeds as long as that one lives, and doesn't keep the key.
+    static StoreOp keepAlive(
+        std::uint64_t id, std::string key, std::uint64_t expected, Millis ttl, std::uint64_t lease)
     {
-        return {id, StoreVerb::KeepAlive, std::move(key), {}, expected, ttl};
+        return {id, StoreVerb::KeepAlive, std::move(key), {}, expected, ttl, {}, lease};
     }
     static StoreOp remove(std::uint64_t id, std::string key, std::uint64_t expected)
     {
@@ -105,6 +110,8 @@
     std::vector<StoreEntry> entries;
     // The era that the store named with the answer, if any; see `StoreEra`.
     std::optional<std::uint64_t> era = std::nullopt;
+    // The lease to which the key is attached at `revision`; 0 if there is none, or the store has no leases.
+    std::uint64_t lease = 0;
 
     bool isOk() const { return status == StoreStatus::Ok; }
     // Returns whether the store was not reached, refused the operation or gave no usable answer.
--- a/testing/protocol/virtual_store.cc
+++ b/testing/protocol/virtual_store.cc
@@ -45,7 +45,7 @@
     if (!era_)
         era_ = 1;
     expire();
-    copies_.push_back({time_.now(), revision_, values_});
+    copies_.push_back({time_.now(), revision_, values_, leases_});
     while (time_.now() - copies_.front().at > maxCopyAge)
         copies_.pop_front();
     time_.after(copyInterval, [this] { keepCopies(); });
@@ -61,17 +61,17 @@
     revision_ = copy.revision;
     previousValues_.clear();
     // Leases go on with the time that they had left in the copy.
-    for (auto& [key, value] : values_) {
-        if (value.expiresAt)
-            *value.expiresAt += shift;
-    }
+    leases_ = copy.leases;
+    for (auto& [lease, expiresAt] : leases_)
+        expiresAt += shift;
     ++*era_;
 }
 
 void VirtualStore::expire()
 {
+    std::erase_if(leases_, [&](const auto& entry) { return entry.second <= time_.now(); });
     std::erase_if(values_,
-        [&](const auto& entry) { return entry.second.expiresAt && *entry.second.expiresAt <= time_.now(); });
+        [&](const auto& entry) { return entry.second.lease != 0 && !leases_.contains(entry.second.lease); });
 }
 
 StoreAnswer VirtualStore::apply(const StoreOp& op)
@@ -79,6 +79,8 @@
     expire();
     if (op.verb == StoreVerb::Get || op.verb == StoreVerb::List)
         return read(op);
+    if (op.verb == StoreVerb::KeepAlive)
+        return renew(op);
     return write(op);
 }
 
@@ -97,6 +99,7 @@
         && chance(faults_.staleRead)) {
         answer.value = old->second.value.text;
         answer.revision = old->second.value.revision;
+        answer.lease = old->second.value.lease;
         return answer;
     }
     auto found = values_.find(op.key);
@@ -106,6 +109,17 @@
     }
     answer.value = found->second.text;
     answer.revision = found->second.revision;
+    answer.lease = found->second.lease;
+    return answer;
+}
+
+StoreAnswer VirtualStore::renew(const StoreOp& op)
+{
+    StoreAnswer answer;
+    auto found = leases_.find(op.lease);
+    answer.status = found == leases_.end() ? StoreStatus::NotFound : StoreStatus::Ok;
+    if (found != leases_.end())
+        found->second = time_.now() + op.ttl;
     return answer;
 }
 
@@ -115,27 +129,24 @@
     auto found = values_.find(op.key);
     std::uint64_t current = found == values_.end() ? 0 : found->second.revision;
     if (op.expectedRevision && *op.expectedRevision != current) {
-        answer.status
-            = op.verb == StoreVerb::KeepAlive && !current ? StoreStatus::NotFound : StoreStatus::Conflict;
+        answer.status = StoreStatus::Conflict;
         answer.revision = current;
         return answer;
     }
     answer.status = StoreStatus::Ok;
-    std::optional<Instant> expiresAt;
-    if (op.ttl.count() > 0)
-        expiresAt = time_.now() + op.ttl;
-    if (op.verb == StoreVerb::KeepAlive) {
-        found->second.expiresAt = expiresAt;
-        answer.revision = current;
-        return answer;
-    }
     if (found != values_.end())
         previousValues_[op.key] = {found->second, time_.now()};
     answer.revision = ++revision_;
     if (op.verb == StoreVerb::Delete)
         values_.erase(op.key);
-    else
-        values_[op.key] = {op.value, revision_, expiresAt};
+    else {
+        // A revision is also the number of the lease that the write is granted.
+        if (op.ttl.count() > 0) {
+            answer.lease = revision_;
+            leases_[answer.lease] = time_.now() + op.ttl;
+        }
+        values_[op.key] = {op.value, revision_, answer.lease};
+    }
     if (observer_)
         observer_(op, revision_);
     return answer;
--- a/testing/protocol/virtual_store.h
+++ b/testing/protocol/virtual_store.h
@@ -1,6 +1,7 @@
 // Simulates the platform's key-value service under virtual time, with its faults: outages, slow and lost
 // requests, answers lost after a write took effect, requests that arrive after their sender has timed out,
-// stale reads.
+// stale reads. As on the platform, each write of an expiring key grants a lease of its own, and renewing a
+// lease succeeds whether or not a key is attached to it.
 //
 //     VirtualStore store(time, random);
 //     store.execute(op, false, [](const StoreAnswer& answer) { ... });
@@ -61,7 +62,8 @@
     struct Value {
         std::string text;
         std::uint64_t revision = 0;
-        std::optional<Instant> expiresAt;
+        // 0 for a key that doesn't expire.
+        std::uint64_t lease = 0;
     };
     struct PreviousValue {
         Value value;
@@ -72,11 +74,13 @@
         Instant at;
         std::uint64_t revision = 0;
         std::map<std::string, Value> values;
+        std::map<std::uint64_t, Instant> leases;
     };
 
     StoreAnswer apply(const StoreOp& op);
     StoreAnswer read(const StoreOp& op);
     StoreAnswer write(const StoreOp& op);
+    StoreAnswer renew(const StoreOp& op);
     void expire();
     bool chance(double probability) { return std::uniform_real_distribution<>(0, 1)(random_) < probability; }
     Millis delay(std::int64_t most)
@@ -92,6 +96,8 @@
     std::optional<std::uint64_t> era_;
     std::deque<Copy> copies_;
     std::map<std::string, Value> values_;
+    // Expiry times by lease.
+    std::map<std::uint64_t, Instant> leases_;
     std::map<std::string, PreviousValue> previousValues_;
     std::function<void(const StoreOp&, std::uint64_t)> observer_;
 };
