Name the replaced revision in each write and removal of a VM's registration

Cause: registrations were written and removed whatever the key held. A call without an answer may be carried out seconds later: an earlier write of the same process, or a write or the removal of the process before it, could take the entry whose lease the VM renews. Renewals go on to succeed, so the VM never registers again and callers and peers lose it. Change: writes and removals name the revision; after a conflict or an unknown outcome the entry is read first. One write at the start as before; a read and a second write if an entry of the previous process is there.

--- a/ragwortwinch/membership/discovery_test.cc
+++ b/ragwortwinch/membership/discovery_test.cc
@@ -180,6 +180,65 @@
     CHECK(registration.tick(at(4000))[0].verb == StoreVerb::Put);
 }
 
+StoreAnswer answerTo(const StoreOps& ops, StoreStatus status, std::uint64_t revision = 0)
+{
+    REQUIRE(ops.size() == 1);
+    StoreAnswer answer;
+    answer.opId = ops[0].id;
+    answer.status = status;
+    answer.revision = revision;
+    answer.lease = revision + 1000;
+    return answer;
+}
+
+// Guards against a VM that leaves the others' lists for good: a write or removal that its previous process
+// sent, or an earlier write of its own, was carried out late and took the entry whose lease it renews.
+TEST_CASE("a VM's late writes have no effect on an entry that was written after them")
+{
+    OpIds ids;
+    VmRegistration former(vm("a", "z1"), ids, Millis(9000));
+    StoreOps late = former.tick(at(0));
+    REQUIRE(late.size() == 1);
+    CHECK(late[0].expectedRevision == std::optional<std::uint64_t>(0));
+    former.onAnswer(at(0), answerTo(late, StoreStatus::Ok, 5));
+    former.remove();
+    StoreOps lateRemoval = former.tick(at(3000));
+    REQUIRE(lateRemoval.size() == 1);
+    CHECK(lateRemoval[0].verb == StoreVerb::Delete);
+    CHECK(lateRemoval[0].expectedRevision == std::optional<std::uint64_t>(5));
+
+    // The next process finds the entry, replaces it and renews the lease of its own write.
+    VmRegistration next(vm("a", "z1"), ids, Millis(9000));
+    next.onAnswer(at(4000), answerTo(next.tick(at(4000)), StoreStatus::Conflict, 5));
+    StoreOps read = next.tick(at(4000));
+    StoreOps write = next.onAnswer(at(4000), answerTo(read, StoreStatus::Ok, 5));
+    REQUIRE(write.size() == 1);
+    CHECK(write[0].expectedRevision == std::optional<std::uint64_t>(5));
+    next.onAnswer(at(4000), answerTo(write, StoreStatus::Ok, 9));
+    StoreOps renewal = next.tick(at(7000));
+    REQUIRE(renewal.size() == 1);
+    CHECK(renewal[0].lease == 1009);
+}
+
+TEST_CASE("a VM whose entry was written without an answer reads it before it writes or removes it")
+{
+    for (bool isStopping : {false, true}) {
+        CAPTURE(isStopping);
+        OpIds ids;
+        VmRegistration registration(vm("a", "z1"), ids, Millis(9000));
+        registration.onAnswer(at(0), answerTo(registration.tick(at(0)), StoreStatus::Unknown));
+        if (isStopping)
+            registration.remove();
+        StoreOps read = registration.tick(at(1000));
+        REQUIRE(read.size() == 1);
+        CHECK(read[0].verb == StoreVerb::Get);
+        StoreOps next = registration.onAnswer(at(1000), answerTo(read, StoreStatus::Ok, 7));
+        REQUIRE(next.size() == 1);
+        CHECK(next[0].verb == (isStopping ? StoreVerb::Delete : StoreVerb::Put));
+        CHECK(next[0].expectedRevision == std::optional<std::uint64_t>(7));
+    }
+}
+
 TEST_CASE("a malformed entry decodes to nothing")
 {
     CHECK_FALSE(decodeVmEntry("").has_value());
--- a/ragwortwinch/membership/vm_registration.cc
+++ b/ragwortwinch/membership/vm_registration.cc
@@ -48,42 +48,102 @@
 {
     if (pendingOp_ != 0 || now < nextCall_ || isRemovalSent_)
         return {};
-    pendingOp_ = ids_.next();
-    if (isRemovalRequested_) {
-        isRemovalSent_ = true;
-        StoreOp op = StoreOp::remove(pendingOp_, key(), 0);
-        op.expectedRevision.reset();
-        return {std::move(op)};
+    if (isRemovalRequested_)
+        return entry_ == Entry::Registered ? removeEntry() : read();
+    switch (entry_) {
+    case Entry::NotOurs:
+        return write();
+    case Entry::Unknown:
+        return read();
+    case Entry::Registered:
+        return start(StoreOp::keepAlive(ids_.next(), key(), revision_, ttl_, storeLease_));
     }
-    if (isRegistered_)
-        return {StoreOp::keepAlive(pendingOp_, key(), 0, ttl_, storeLease_)};
-    StoreOp op = StoreOp::put(pendingOp_, key(), encodeVmEntry(self_), 0, ttl_);
-    // An entry of this VM's previous process may still exist.
-    op.expectedRevision.reset();
+    return {};
+}
+
+StoreOps VmRegistration::start(StoreOp op)
+{
+    pendingOp_ = op.id;
+    pendingVerb_ = op.verb;
     return {std::move(op)};
 }
 
+StoreOps VmRegistration::write()
+{
+    return start(StoreOp::put(ids_.next(), key(), encodeVmEntry(self_), revision_, ttl_));
+}
+
+StoreOps VmRegistration::removeEntry()
+{
+    isRemovalSent_ = true;
+    return start(StoreOp::remove(ids_.next(), key(), revision_));
+}
+
 StoreOps VmRegistration::onAnswer(Instant now, const StoreAnswer& answer)
 {
     if (pendingOp_ == 0 || answer.opId != pendingOp_)
         return {};
     pendingOp_ = 0;
+    if (pendingVerb_ == StoreVerb::Get)
+        return onRead(now, answer);
+    if (pendingVerb_ == StoreVerb::Put)
+        onWritten(now, answer);
+    else if (pendingVerb_ == StoreVerb::KeepAlive)
+        onRenewed(now, answer);
+    return {};
+}
+
+StoreOps VmRegistration::onRead(Instant now, const StoreAnswer& answer)
+{
+    if (answer.isOutage()) {
+        nextCall_ = now + retryInterval;
+        return {};
+    }
+    entry_ = Entry::NotOurs;
+    revision_ = answer.isOk() ? answer.revision : 0;
+    if (!isRemovalRequested_)
+        return write();
+    // An entry of this VM's previous process is removed as well.
+    if (revision_ != 0)
+        return removeEntry();
+    isRemovalSent_ = true;
+    return {};
+}
+
+void VmRegistration::onWritten(Instant now, const StoreAnswer& answer)
+{
     if (answer.isOk()) {
-        if (!std::exchange(isRegistered_, true))
-            storeLease_ = answer.lease;
+        entry_ = Entry::Registered;
+        revision_ = answer.revision;
+        storeLease_ = answer.lease;
         nextCall_ = now + ttl_ / 3;
-        return {};
+        return;
     }
-    if (answer.status == StoreStatus::NotFound)
-        isRegistered_ = false;
+    // After a conflict, which an entry of this VM's previous process causes, the next tick reads it.
+    if (answer.status != StoreStatus::Unavailable)
+        entry_ = Entry::Unknown;
+    if (answer.status != StoreStatus::Conflict)
+        nextCall_ = now + retryInterval;
+}
+
+void VmRegistration::onRenewed(Instant now, const StoreAnswer& answer)
+{
+    if (answer.isOk()) {
+        nextCall_ = now + ttl_ / 3;
+        return;
+    }
+    if (answer.status == StoreStatus::NotFound) {
+        entry_ = Entry::NotOurs;
+        revision_ = 0;
+    } else if (answer.status == StoreStatus::Conflict)
+        entry_ = Entry::Unknown;
     nextCall_ = now + retryInterval;
-    return {};
 }
 
 void VmRegistration::onStoreRestored(Instant now)
 {
     pendingOp_ = 0;
-    isRegistered_ = false;
+    entry_ = Entry::Unknown;
     isRemovalSent_ = false;
     nextCall_ = now;
 }
--- a/ragwortwinch/membership/vm_registration.h
+++ b/ragwortwinch/membership/vm_registration.h
@@ -5,7 +5,8 @@
 //     run(registration.tick(now));
 //     registration.onAnswer(now, answer);
 //
-// Not thread-safe.
+// All writes name the revision that they replace, so that one without an answer has no effect if it is
+// carried out after a later one, by this process or the next one of the same VM. Not thread-safe.
 #pragma once
 
 #include "ragwortwinch/base/time.h"
@@ -37,15 +38,34 @@
     void remove() { isRemovalRequested_ = true; }
 
 private:
+    // What is known of the entry in the store.
+    enum class Entry {
+        // At `revision_`, written by another process, or absent if that is 0.
+        NotOurs,
+        // A write of this process had no answer.
+        Unknown,
+        // Written by this process at `revision_`, attached to `storeLease_`.
+        Registered,
+    };
+
     std::string key() const { return vmKeyPrefix + self_.name; }
+    // Starts an operation, whose answer is awaited.
+    StoreOps start(StoreOp op);
+    StoreOps read() { return start(StoreOp::get(ids_.next(), key())); }
+    StoreOps write();
+    StoreOps removeEntry();
+    StoreOps onRead(Instant now, const StoreAnswer& answer);
+    void onWritten(Instant now, const StoreAnswer& answer);
+    void onRenewed(Instant now, const StoreAnswer& answer);
 
     VmInfo self_;
     OpIds& ids_;
     Millis ttl_;
     std::uint64_t pendingOp_ = 0;
-    // The store's lease to which the entry is attached.
+    StoreVerb pendingVerb_ = StoreVerb::Get;
+    Entry entry_ = Entry::NotOurs;
+    std::uint64_t revision_ = 0;
     std::uint64_t storeLease_ = 0;
-    bool isRegistered_ = false;
     bool isRemovalRequested_ = false;
     bool isRemovalSent_ = false;
     Instant nextCall_;
