Treat a reply whose status is none as a failure of its server

Cause: the forwarding path's parser takes any three digits, and what follows compares with ranges: 000 is no success, so it needs no signature, and no server error, so it is neither the endpoint's failure nor repeated. libcurl takes 101, which nobody asks for, and 600 to 999 as final statuses. Change: isInterimStatus and isFinalStatus in net/reply_head.h. Attempts end as broken and calls through libcurl as Broken before anything of the reply is handed on, so idempotent requests and resumable streams go to another endpoint.

--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -2,10 +2,12 @@
 
 #include "ragwortwinch/base/log_event.h"
 #include "ragwortwinch/forward/http_status.h"
+#include "ragwortwinch/net/reply_head.h"
 
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
+#include <fmt/format.h>
 
 namespace ragwortwinch {
 
@@ -162,39 +164,43 @@
         return;
     }
     const http::response_header<>& header = parser_->get().base();
-    if (header.result_int() / 100 == 1) {
+    int status = static_cast<int>(header.result_int());
+    if (isInterimStatus(status)) {
         if (++interimReplies_ > maxInterimReplies)
             endInvalid("too many interim replies");
         else
             readHead();
         return;
     }
+    if (!isFinalStatus(status)) {
+        endInvalid(fmt::format("the reply's status {:03} is none that a reply may have", status));
+        return;
+    }
     reply_ = codec_.decodeReply(header);
     // An endpoint that can't parse the request refuses it without an id. On a new connection the refusal can
     // only belong to this request.
     bool isUnattributedRefusal = reply_.requestId.empty() && !hasReusedChannel_ && staleReplies_ == 0
-        && (reply_.isNotExecuted || header.result_int() == statusMisdirected);
+        && (reply_.isNotExecuted || status == statusMisdirected);
     isStale_ = !belongsToRequest(reply_) && !isUnattributedRefusal;
     if (isStale_ && (reply_.requestId.empty() || ++staleReplies_ > maxStaleReplies)) {
         endInvalid("the reply has another request's id, or none");
         return;
     }
-    if (header.result_int() != statusMisdirected)
-        takeNotices(static_cast<int>(header.result_int()));
+    if (status != statusMisdirected)
+        takeNotices(status);
     if (!isStale_) {
         // Replies to calls other than requests, which have no id, need not name the limit.
-        if (header.result_int() != statusMisdirected && !options_.requestId.empty())
+        if (status != statusMisdirected && !options_.requestId.empty())
             endpoint_->limit.onReply(clock_.now(), reply_.requestLimit);
-        if (header.result_int() == statusMisdirected)
+        if (status == statusMisdirected)
             refusal_ = AttemptEnd::Misdirected;
         else if (reply_.isNotExecuted)
             refusal_ = AttemptEnd::NotExecuted;
-        else if (std::string problem = foreignReplyProblem(static_cast<int>(header.result_int()));
-                 !problem.empty()) {
+        else if (std::string problem = foreignReplyProblem(status); !problem.empty()) {
             endInvalid(std::move(problem));
             return;
         } else
-            listener_->onReplyHead(static_cast<int>(header.result_int()), toView(header.reason()), header);
+            listener_->onReplyHead(status, toView(header.reason()), header);
         if (isEnded_)
             return;
     }
--- a/ragwortwinch/net/curl_http_client.cc
+++ b/ragwortwinch/net/curl_http_client.cc
@@ -129,6 +129,8 @@
         result.end = internal::classifyEnd(transfer, code, result.mayHaveBeenSent);
         if (transfer.wasTooLarge)
             result.detail = "the response exceeds the size limit";
+        else if (!transfer.problem.empty())
+            result.detail = transfer.problem;
         else if (code != CURLE_OK)
             result.detail
                 = transfer.wasIdle ? "no data arrived before the timeout" : curl_easy_strerror(code);
--- a/ragwortwinch/net/internal/curl_transfer.cc
+++ b/ragwortwinch/net/internal/curl_transfer.cc
@@ -1,5 +1,9 @@
 #include "ragwortwinch/net/internal/curl_transfer.h"
 
+#include "ragwortwinch/net/reply_head.h"
+
+#include <charconv>
+
 namespace ragwortwinch::internal {
 
 void deliverHeaders(Transfer& transfer)
@@ -16,15 +20,35 @@
 
 namespace {
 
+// Returns the status in a status line, or 0 if there is none.
+int statusOfLine(std::string_view line)
+{
+    int status = 0;
+    line.remove_prefix(std::min(line.find(' ') + 1, line.size()));
+    std::from_chars(line.data(), line.data() + line.size(), status);
+    return status;
+}
+
+// Begins a reply, which may be an interim one before the final one. Returns why it is invalid, or an empty
+// string.
+std::string beginReply(Transfer& transfer, std::string_view statusLine)
+{
+    transfer.result.headers = {};
+    int status = statusOfLine(statusLine);
+    return isInterimStatus(status) || isFinalStatus(status)
+        ? ""
+        : "the reply's status is none that a reply may have";
+}
+
 std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* self)
 {
     Transfer* transfer = static_cast<Transfer*>(self);
     std::string_view line(data, size * count);
     transfer->lastActivity = SystemClock().now();
-    // Drops the header of an interim response (1xx), which precedes the final status line.
     if (line.starts_with("HTTP/")) {
-        transfer->result.headers = {};
-        return line.size();
+        transfer->problem = beginReply(*transfer, line);
+        // Any other number ends the call.
+        return transfer->problem.empty() ? line.size() : 0;
     }
     std::size_t colon = line.find(':');
     if (colon != std::string_view::npos) {
--- a/ragwortwinch/net/internal/curl_transfer.h
+++ b/ragwortwinch/net/internal/curl_transfer.h
@@ -38,6 +38,8 @@
     bool wasCancelled = false;
     bool wasIdle = false;
     bool wasTooLarge = false;
+    // Why the reply is invalid although libcurl takes it; empty if it isn't.
+    std::string problem;
 };
 
 // Sets the handle's options from the call.
--- /dev/null
+++ b/ragwortwinch/net/invalid_reply_test.cc
@@ -0,0 +1,94 @@
+// Replies that are no answers of their server, to calls of the libcurl client, which the store, the duties,
+// calls to endpoints and the product's own mode use.
+#include "ragwortwinch/net/http_client.h"
+#include "testing/forward/fake_endpoint.h"
+
+#include <doctest/doctest.h>
+
+namespace ragwortwinch {
+namespace {
+
+using testing::FakeEndpoint;
+using testing::RawSocket;
+
+struct Called {
+    HttpCallResult result;
+    // What the callbacks of a streamed call got.
+    int status = 0;
+    std::string body;
+};
+
+// Calls a server that sends `reply` to the last of the requests on its connection, and a sound reply to the
+// one before if the connection is a kept one.
+Called callServer(const std::string& reply, bool isStreamed, bool isOnKeptConnection)
+{
+    std::atomic<int> soundReplies{isOnKeptConnection ? 1 : 0};
+    FakeEndpoint server([&](RawSocket& socket, const std::string&) {
+        if (soundReplies-- > 0) {
+            socket.send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            return true;
+        }
+        socket.send(reply);
+        return false;
+    });
+    std::unique_ptr<HttpClient> client = makeCurlHttpClient();
+    HttpCallBuilder call("GET", "http://127.0.0.1:" + std::to_string(server.port()) + "/");
+    call.totalTimeout(Millis(3000));
+    if (isOnKeptConnection)
+        REQUIRE(callAndWait(*client, HttpCallBuilder(call).build()).isOk());
+    Called called;
+    if (isStreamed)
+        call.onHeaders([&](int status, const HttpHeaders&) { called.status = status; })
+            .onData([&](std::string_view bytes) {
+                called.body += bytes;
+                return StreamFlow::Continue;
+            });
+    called.result = callAndWait(*client, call.build());
+    CHECK(server.connections() == 1);
+    return called;
+}
+
+// Checks that a call to a server that sends this ends as broken, and that nothing of it reaches the caller.
+void checkIsBroken(const std::string& reply)
+{
+    for (bool isStreamed : {false, true}) {
+        for (bool isOnKeptConnection : {false, true}) {
+            CAPTURE(isStreamed);
+            CAPTURE(isOnKeptConnection);
+            Called called = callServer(reply, isStreamed, isOnKeptConnection);
+            CHECK(called.result.end == CallEnd::Broken);
+            CHECK_FALSE(called.result.isOk());
+            CHECK(called.result.mayHaveBeenSent);
+            CHECK(called.status == 0);
+            CHECK(called.body.empty());
+            CHECK(called.result.body.empty());
+        }
+    }
+}
+
+// Guards against a reply with a status such as 999, from a server in trouble, that counts as its answer.
+TEST_CASE("a call whose reply has a status outside of 100 to 599 is broken")
+{
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        CAPTURE(status);
+        checkIsBroken("HTTP/1.1 " + status + " Answer\r\nContent-Length: 5\r\n\r\nwrong");
+        checkIsBroken(
+            "HTTP/1.1 " + status + " Answer\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n");
+        checkIsBroken("HTTP/1.1 " + status + " Answer\r\n\r\nwrong");
+        checkIsBroken(
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + status + " Answer\r\nContent-Length: 5\r\n\r\nwrong");
+    }
+}
+
+TEST_CASE("a call whose reply comes behind interim ones is complete")
+{
+    Called called = callServer(
+        "HTTP/1.1 102 Processing\r\nX-Field: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound",
+        /*isStreamed=*/false, /*isOnKeptConnection=*/true);
+    CHECK(called.result.isOk());
+    CHECK(called.result.body == "sound");
+    CHECK(called.result.headers.get("X-Field").empty());
+}
+
+} // namespace
+} // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/net/reply_head.h
@@ -0,0 +1,19 @@
+// Checks of the head of a reply that HTTP libraries leave to their users. A reply that fails one is not an
+// answer of the server: it is treated like a connection that broke off.
+//
+//     if (!isFinalStatus(status)) { ... }
+//
+// Thread-safe.
+#pragma once
+
+namespace ragwortwinch {
+
+// Whether the status precedes the final reply. 101 doesn't: it ends HTTP on the connection, and nothing here
+// asks for that.
+inline bool isInterimStatus(int status) { return status >= 100 && status < 200 && status != 101; }
+
+// Whether the status is one of a final reply. Others, such as 000 or 600, are no status (RFC 9110, section
+// 15).
+inline bool isFinalStatus(int status) { return status >= 200 && status < 600; }
+
+} // namespace ragwortwinch
