Don't take a reply cut by a reset during the upload for complete

Cause: a socket reports a reset once, to whichever operation asks first. An attempt reads the reply while it writes the request and lets a failed write pass. The write took the reset, and the read saw an ordinary end of the connection, which completes a reply without a length or chunks: callers got a part as the whole. Change: such a reply is complete when the request has been written without an error. A pending write is waited for within the gap timeout; a failed one ends the attempt as broken, which is the endpoint's failure and repeated where allowed. FakeEndpoint can leave the bodies of requests to its function.

--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -114,19 +114,23 @@
     armTimer(options_.firstByteTimeout, AttemptEnd::Silent);
     std::array<boost::asio::const_buffer, 2> parts{boost::asio::buffer(head_), boost::asio::buffer(*body_)};
     boost::asio::async_write(channel_->socket(), parts,
-        [self = shared_from_this(), channel = channel_](const ErrorCode& error, std::size_t bytes) {
-            if (self->isEnded_)
-                return;
-            // A write error doesn't end the attempt: an endpoint may reply and close before it has read the
-            // whole request.
-            if (!error)
-                self->isWritten_ = true;
-            else
-                self->hasFailedToSend_ = bytes == 0;
-        });
+        [self = shared_from_this(), channel = channel_](
+            const ErrorCode& error, std::size_t bytes) { self->onWritten(error, bytes); });
     readHead();
 }
 
+void Attempt::onWritten(const ErrorCode& error, std::size_t bytes)
+{
+    if (isEnded_)
+        return;
+    // A write error doesn't end the attempt: an endpoint may reply and close before it has read the whole
+    // request.
+    write_ = error ? WriteState::Failed : WriteState::Complete;
+    hasFailedToSend_ = error && bytes == 0;
+    if (awaitsWrite_)
+        finishCloseDelimited();
+}
+
 void Attempt::readHead()
 {
     parser_.emplace();
@@ -293,7 +297,11 @@
         readHead();
         return;
     }
-    if (isReusable && isWritten_ && channel_->buffer().size() == 0) {
+    if (isDelimitedByClose_ && !refusal_) {
+        finishCloseDelimited();
+        return;
+    }
+    if (isReusable && write_ == WriteState::Complete && channel_->buffer().size() == 0) {
         channel_->keepAlive = reply_.keepAlive.value_or(Millis(0));
         ++channel_->replies;
         releaseChannel();
@@ -301,6 +309,25 @@
     end(refusal_.value_or(AttemptEnd::Complete));
 }
 
+void Attempt::finishCloseDelimited()
+{
+    // A socket reports a reset once, to whichever operation asks first. If the write got it, the read sees an
+    // ordinary end.
+    switch (write_) {
+    case WriteState::Pending:
+        awaitsWrite_ = true;
+        armTimer(options_.gapTimeout, AttemptEnd::Silent);
+        return;
+    case WriteState::Complete:
+        end(AttemptEnd::Complete);
+        return;
+    case WriteState::Failed:
+        hasLostConnection_ = true;
+        endInvalid("the connection was reset while the request was written, so its reply may be cut");
+        return;
+    }
+}
+
 void Attempt::endBroken(const ErrorCode& error)
 {
     bool isClose = error == http::error::end_of_stream || error == http::error::partial_message;
--- a/ragwortwinch/forward/attempt.h
+++ b/ragwortwinch/forward/attempt.h
@@ -130,10 +130,14 @@
     bool isDelimitedByClose() const { return isDelimitedByClose_; }
 
 private:
+    // Of the request.
+    enum class WriteState { Pending, Complete, Failed };
+
     using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
 
     void connect();
     void send();
+    void onWritten(const boost::system::error_code& error, std::size_t bytes);
     // Replaces the current timeout; zero only cancels it.
     void armTimer(Millis timeout, AttemptEnd end);
     void startTimer(Millis timeout, AttemptEnd end);
@@ -149,6 +153,8 @@
     void onBody(const boost::system::error_code& error);
     void deliver();
     void finishReply();
+    // Handles a reply that ended with its connection, which is complete if the connection wasn't reset.
+    void finishCloseDelimited();
     // Ends a reply that couldn't be read to its end.
     void endBroken(const boost::system::error_code& error);
     void end(AttemptEnd end);
@@ -176,7 +182,9 @@
     int interimReplies_ = 0;
     std::size_t droppedBytes_ = 0;
     EndpointReply reply_;
-    bool isWritten_ = false;
+    WriteState write_ = WriteState::Pending;
+    // The reply ended with its connection while the request was still being written.
+    bool awaitsWrite_ = false;
     // The connection took no byte of the request.
     bool hasFailedToSend_ = false;
     bool mayHaveBeenSent_ = false;
--- a/ragwortwinch/net/invalid_reply_test.cc
+++ b/ragwortwinch/net/invalid_reply_test.cc
@@ -80,6 +80,33 @@
     }
 }
 
+// A socket reports a reset once, to the write or to the read. libcurl ends a call at either.
+TEST_CASE("a call is broken whose reply has no length and is reset while the request is written")
+{
+    const std::string upload(8 * 1024 * 1024, 'u');
+    for (int delayMillis : {0, 1, 5, 20, 100}) {
+        for (bool isReset : {false, true}) {
+            CAPTURE(delayMillis);
+            CAPTURE(isReset);
+            FakeEndpoint server(
+                [&](RawSocket& socket, const std::string&) {
+                    socket.send("HTTP/1.1 200 OK\r\n\r\npart");
+                    std::this_thread::sleep_for(std::chrono::milliseconds(delayMillis));
+                    // Closing with unread input resets the connection as well.
+                    if (isReset)
+                        socket.reset();
+                    return false;
+                },
+                FakeEndpoint::Reads::Heads);
+            std::unique_ptr<HttpClient> client = makeCurlHttpClient();
+            HttpCallBuilder call("POST", "http://127.0.0.1:" + std::to_string(server.port()) + "/");
+            HttpCallResult result
+                = callAndWait(*client, call.body(upload).totalTimeout(Millis(3000)).build());
+            CHECK(result.end == CallEnd::Broken);
+        }
+    }
+}
+
 TEST_CASE("a call whose reply comes behind interim ones is complete")
 {
     Called called = callServer(
--- a/testing/forward/fake_endpoint.h
+++ b/testing/forward/fake_endpoint.h
@@ -6,6 +6,10 @@
 //     });
 //     endpoint.requests();      // the requests received so far
 //
+// An endpoint that reads only the heads of requests leaves their bodies to the function:
+//
+//     FakeEndpoint endpoint(behaviour, FakeEndpoint::Reads::Heads);
+//
 // Throws std::runtime_error if it can't listen. The public functions are thread-safe.
 #pragma once
 
@@ -26,8 +30,11 @@
     // Called for each request, on a thread per connection; returns false to close the connection.
     using Behaviour = std::function<bool(RawSocket&, const std::string& request)>;
 
-    explicit FakeEndpoint(Behaviour behaviour)
+    enum class Reads { Messages, Heads };
+
+    explicit FakeEndpoint(Behaviour behaviour, Reads reads = Reads::Messages)
         : behaviour_(std::move(behaviour))
+        , reads_(reads)
         , listener_(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address{};
@@ -83,7 +90,8 @@
         while (!isStopping_.load()) {
             if (!socket.waitForInput(stopCheckMillis))
                 continue;
-            std::string request = socket.readMessage();
+            std::string request
+                = reads_ == Reads::Heads ? socket.readUntil("\r\n\r\n") : socket.readMessage();
             // The connection has ended.
             if (request.empty())
                 return;
@@ -97,6 +105,7 @@
     }
 
     Behaviour behaviour_;
+    Reads reads_;
     int listener_;
     std::uint16_t port_ = 0;
     std::atomic<bool> isStopping_{false};
