Refuse replies with invalid field names wherever libcurl reads them

Cause: libcurl hands every line with a colon to its user, those of interim replies and trailers included, and looks only for names that it knows: "Content-Length : 5" or a name with a control byte was a field, and the body was framed without it. The client kept any name; OrderSender read no fields. The forwarding path's parser refuses such names. Change: ReplyHeadReader reads the lines of a head for the client and OrderSender. A name that is no token ends the call as Broken, and the outcome of an order or usage report is Unknown.

--- a/ragwortwinch/caller/invalid_head_test.cc
+++ b/ragwortwinch/caller/invalid_head_test.cc
@@ -96,5 +96,21 @@
     }
 }
 
+TEST_CASE("a reply with a field whose name is invalid is a failure of its endpoint")
+{
+    for (const std::string name :
+        {"X Field", "X-Field ", "X\x01Field", "X-Field\x7f", "", "Content Length"}) {
+        CAPTURE(name);
+        const std::string field = name + ": 5\r\n";
+        checkIsFailure([&](const std::string& request) {
+            std::string reply = answerTo(request, "wrong");
+            return reply.insert(reply.find("Content-Length"), field);
+        });
+        checkIsFailure([&](const std::string& request) {
+            return "HTTP/1.1 103 Early Hints\r\n" + field + "\r\n" + answerTo(request, "wrong");
+        });
+    }
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/fleet/order_sender.cc
+++ b/ragwortwinch/fleet/order_sender.cc
@@ -1,6 +1,7 @@
 #include "ragwortwinch/fleet/order_sender.h"
 
 #include "ragwortwinch/lease/lease_expiry_guard.h"
+#include "ragwortwinch/net/reply_head_reader.h"
 
 #include <curl/curl.h>
 
@@ -26,6 +27,19 @@
     return static_cast<LeaseExpiryGuard*>(guard)->hasAuthority() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
+struct ReplyHead {
+    ReplyHeadReader reader;
+    HttpHeaders headers;
+};
+
+// Ends the send, whose outcome is then unknown, at the first line of a head that is invalid.
+std::size_t checkHeadLine(char* data, std::size_t size, std::size_t count, void* self)
+{
+    ReplyHead* head = static_cast<ReplyHead*>(self);
+    std::string_view line(data, size * count);
+    return head->reader.onLine(line, head->headers).empty() ? line.size() : 0;
+}
+
 std::size_t discardBody(char*, std::size_t size, std::size_t count, void*) { return size * count; }
 
 SendOutcome toOutcome(CURLcode code, long status)
@@ -116,6 +130,9 @@
     curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, &guard);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, checkLease);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, &guard);
+    ReplyHead head;
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, checkHeadLine);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &head);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, discardBody);
     CURLcode code = curl_easy_perform(easy);
     long status = 0;
--- a/ragwortwinch/net/internal/curl_transfer.cc
+++ b/ragwortwinch/net/internal/curl_transfer.cc
@@ -1,9 +1,5 @@
 #include "ragwortwinch/net/internal/curl_transfer.h"
 
-#include "ragwortwinch/net/reply_head.h"
-
-#include <charconv>
-
 namespace ragwortwinch::internal {
 
 void deliverHeaders(Transfer& transfer)
@@ -20,46 +16,14 @@
 
 namespace {
 
-// Returns the status in a status line, or 0 if there is none.
-int statusOfLine(std::string_view line)
-{
-    int status = 0;
-    line.remove_prefix(std::min(line.find(' ') + 1, line.size()));
-    std::from_chars(line.data(), line.data() + line.size(), status);
-    return status;
-}
-
-// Begins a reply, which may be an interim one before the final one. Returns why it is invalid, or an empty
-// string.
-std::string beginReply(Transfer& transfer, std::string_view statusLine)
-{
-    transfer.result.headers = {};
-    int status = statusOfLine(statusLine);
-    return isInterimStatus(status) || isFinalStatus(status)
-        ? ""
-        : "the reply's status is none that a reply may have";
-}
-
 std::size_t onHeader(char* data, std::size_t size, std::size_t count, void* self)
 {
     Transfer* transfer = static_cast<Transfer*>(self);
     std::string_view line(data, size * count);
     transfer->lastActivity = SystemClock().now();
-    if (line.starts_with("HTTP/")) {
-        transfer->problem = beginReply(*transfer, line);
-        // Any other number ends the call.
-        return transfer->problem.empty() ? line.size() : 0;
-    }
-    std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-        std::string_view value = line.substr(colon + 1);
-        while (!value.empty() && (value.front() == ' ' || value.front() == '\t'))
-            value.remove_prefix(1);
-        while (!value.empty() && (value.back() == '\r' || value.back() == '\n' || value.back() == ' '))
-            value.remove_suffix(1);
-        transfer->result.headers.add(std::string(line.substr(0, colon)), std::string(value));
-    }
-    return line.size();
+    transfer->problem = transfer->headReader.onLine(line, transfer->result.headers);
+    // Any other number ends the call.
+    return transfer->problem.empty() ? line.size() : 0;
 }
 
 std::size_t onBody(char* data, std::size_t size, std::size_t count, void* self)
--- a/ragwortwinch/net/internal/curl_transfer.h
+++ b/ragwortwinch/net/internal/curl_transfer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "ragwortwinch/net/http_client.h"
+#include "ragwortwinch/net/reply_head_reader.h"
 
 #include <cstdint>
 #include <curl/curl.h>
@@ -32,6 +33,7 @@
     CURL* easy = nullptr;
     curl_slist* headerList = nullptr;
     HttpCallResult result;
+    ReplyHeadReader headReader;
     Instant lastActivity;
     bool headersDelivered = false;
     bool isPaused = false;
--- a/ragwortwinch/net/invalid_reply_test.cc
+++ b/ragwortwinch/net/invalid_reply_test.cc
@@ -107,6 +107,44 @@
     }
 }
 
+// Names of fields that are no tokens: with a blank, a control byte or another character that a name can't
+// have.
+const std::vector<std::string> invalidNames{"Content Length", "Content-Length ", "Content-Length\t",
+    " X-Field", "X\x01-Field", "X-Field\x7f", "X\rField", "X-F\xc3\xa9", "X(Field)", "",
+    "Transfer-Encoding "};
+
+// Guards against a field whose name holds a blank or a control byte, of a server in trouble, that counts as a
+// part of an answer, and against a body that such a field frames otherwise than its server means.
+TEST_CASE("a call whose reply has a field with an invalid name is broken")
+{
+    for (const std::string& name : invalidNames) {
+        CAPTURE(name);
+        std::string field = name + ": 5\r\n";
+        const std::string lengthHead = "HTTP/1.1 200 OK\r\nX-First: a\r\n";
+        checkIsBroken(lengthHead + field + "Content-Length: 5\r\n\r\nwrong");
+        checkIsBroken(lengthHead + "Content-Length: 5\r\n" + field + "\r\nwrong");
+        checkIsBroken(lengthHead + field + "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n");
+        checkIsBroken(lengthHead + field + "\r\nwrong");
+        checkIsBroken("HTTP/1.1 103 Early Hints\r\nX-First: a\r\n" + field + "\r\n" + lengthHead
+            + "Content-Length: 5\r\n\r\nwrong");
+    }
+}
+
+// The body has been handed on by then, but the call must not count as complete.
+TEST_CASE("a call whose reply has a trailer field with an invalid name is broken")
+{
+    for (const std::string& name : invalidNames) {
+        CAPTURE(name);
+        for (bool isStreamed : {false, true}) {
+            Called called
+                = callServer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n" + name
+                        + ": 5\r\n\r\n",
+                    isStreamed, /*isOnKeptConnection=*/false);
+            CHECK(called.result.end == CallEnd::Broken);
+        }
+    }
+}
+
 TEST_CASE("a call whose reply comes behind interim ones is complete")
 {
     Called called = callServer(
--- a/ragwortwinch/net/reply_head.h
+++ b/ragwortwinch/net/reply_head.h
@@ -6,6 +6,9 @@
 // Thread-safe.
 #pragma once
 
+#include <algorithm>
+#include <string_view>
+
 namespace ragwortwinch {
 
 // Whether the status precedes the final reply. 101 doesn't: it ends HTTP on the connection, and nothing here
@@ -16,4 +19,15 @@
 // 15).
 inline bool isFinalStatus(int status) { return status >= 200 && status < 600; }
 
+// Whether a field may have this name: a token (RFC 9110, section 5.6.2), which holds no blank and no control
+// byte.
+inline bool isFieldName(std::string_view name)
+{
+    constexpr std::string_view symbols = "!#$%&'*+-.^_`|~";
+    return !name.empty() && std::all_of(name.begin(), name.end(), [symbols](char c) {
+        bool isLetter = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z');
+        return isLetter || (c >= '0' && c <= '9') || symbols.find(c) != std::string_view::npos;
+    });
+}
+
 } // namespace ragwortwinch
--- /dev/null
+++ b/ragwortwinch/net/reply_head_reader.h
@@ -0,0 +1,28 @@
+// Reads the lines that libcurl hands out of a reply's head, and checks what libcurl takes unchecked.
+//
+//     std::string problem = reader.onLine(line, headers);
+//     if (!problem.empty()) end the call;
+//
+// Not thread-safe.
+#pragma once
+
+#include "ragwortwinch/net/http_message.h"
+
+#include <string>
+#include <string_view>
+
+namespace ragwortwinch {
+
+class ReplyHeadReader {
+public:
+    // Takes a line with its end: a status line, a field or the blank line behind them, of interim replies
+    // (1xx), the final one or its trailer. Sets `headers` to the fields of the reply that is being read.
+    // Returns why the reply is invalid, or an empty string.
+    std::string onLine(std::string_view line, HttpHeaders& headers);
+
+private:
+    std::string onStatusLine(std::string_view line);
+    static std::string onField(std::string_view line, HttpHeaders& headers);
+};
+
+} // namespace ragwortwinch
