Read each line of a reply's head by where it stands

Cause: the client took any line that begins with HTTP/ for the start of a reply and any other for a field of its head. A line inside a head dropped the fields before it; fields of a trailer, which libcurl hands out the same way, counted as fields of the head, such as the store's era or a service's "not run". What stands in the status line was left to libcurl, which takes HTTP/2, "200OK" and two blanks on a connection of HTTP/1.1. Change: ReplyHeadReader tracks the part that it reads. A status line is HTTP/1.0 or 1.1 with three digits; fields of a trailer are checked and dropped.

--- a/ragwortwinch/net/invalid_reply_test.cc
+++ b/ragwortwinch/net/invalid_reply_test.cc
@@ -145,6 +145,34 @@
     }
 }
 
+// Guards against bytes of another protocol that count as an answer, and against a line inside a head that
+// hides the fields before it.
+TEST_CASE("a call whose reply has an invalid status line, or another one inside its head, is broken")
+{
+    for (const std::string line :
+        {"HTTP/0.9 200 OK", "HTTP/1.2 200 OK", "HTTP/2 200 OK", "HTTP/2.0 200 OK", "ICY 200 OK",
+            "HTTP/1.1 2000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 200OK", "HTTP/1.1  200 OK", "HTTP/1.1 2x0 OK"}) {
+        CAPTURE(line);
+        checkIsBroken(line + "\r\nContent-Length: 5\r\n\r\nwrong");
+    }
+    checkIsBroken("HTTP/1.1 200 OK\r\nX-Field: a\r\nHTTP/1.1 200 OK: b\r\nContent-Length: 5\r\n\r\nwrong");
+    CHECK(callServer("HTTP/1.1 200\r\nContent-Length: 5\r\n\r\nsound", false, false).result.body == "sound");
+}
+
+// Guards against a field behind the body that counts as one of the head, such as the store's era or "not
+// run".
+TEST_CASE("fields of a trailer are not among those of the reply")
+{
+    for (bool isStreamed : {false, true}) {
+        Called called = callServer("HTTP/1.1 200 OK\r\nX-Field: head\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                   "5\r\nsound\r\n0\r\nX-Late: trailer\r\n\r\n",
+            isStreamed, /*isOnKeptConnection=*/false);
+        CHECK(called.result.isOk());
+        CHECK(called.result.headers.get("X-Field") == "head");
+        CHECK(called.result.headers.get("X-Late").empty());
+    }
+}
+
 TEST_CASE("a call whose reply comes behind interim ones is complete")
 {
     Called called = callServer(
--- a/ragwortwinch/net/reply_head_reader.cc
+++ b/ragwortwinch/net/reply_head_reader.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <optional>
 
 namespace ragwortwinch {
 
@@ -26,13 +27,19 @@
     return text.substr(0, text.find_last_not_of(blanks) + 1);
 }
 
-// Returns the status in a status line, or 0 if there is none.
-int statusOfLine(std::string_view line)
+// Returns the status in a status line of HTTP/1.0 or 1.1, or nothing if it is none.
+std::optional<int> parseStatusLine(std::string_view line)
 {
+    constexpr std::size_t versionLength = 9;
+    constexpr std::size_t statusLength = 3;
+    if (!line.starts_with("HTTP/1.1 ") && !line.starts_with("HTTP/1.0 "))
+        return std::nullopt;
+    line.remove_prefix(versionLength);
     int status = 0;
-    line.remove_prefix(std::min(line.find(' ') + 1, line.size()));
-    std::from_chars(line.data(), line.data() + line.size(), status);
-    return status;
+    const char* end = line.data() + std::min(line.size(), statusLength);
+    bool hasDigits = std::from_chars(line.data(), end, status).ptr == line.data() + statusLength;
+    line.remove_prefix(std::min(line.size(), statusLength));
+    return hasDigits && (line.empty() || line.front() == ' ') ? std::optional<int>(status) : std::nullopt;
 }
 
 } // namespace
@@ -40,23 +47,34 @@
 std::string ReplyHeadReader::onLine(std::string_view line, HttpHeaders& headers)
 {
     line = withoutEnd(line);
-    if (line.starts_with("HTTP/")) {
+    if (part_ == Part::StatusLine) {
         // Drops the fields of an interim reply before this one.
         headers = {};
         return onStatusLine(line);
     }
-    return line.empty() ? "" : onField(line, headers);
+    if (!line.empty())
+        return onField(line, headers);
+    onBlankLine();
+    return {};
 }
 
 std::string ReplyHeadReader::onStatusLine(std::string_view line)
 {
-    int status = statusOfLine(line);
-    return isInterimStatus(status) || isFinalStatus(status)
-        ? ""
-        : "the reply's status is none that a reply may have";
+    std::optional<int> status = parseStatusLine(line);
+    if (!status)
+        return "the reply's status line is invalid";
+    if (!isInterimStatus(*status) && !isFinalStatus(*status))
+        return "the reply's status is none that a reply may have";
+    part_ = isInterimStatus(*status) ? Part::InterimFields : Part::FinalFields;
+    return {};
+}
+
+void ReplyHeadReader::onBlankLine()
+{
+    part_ = part_ == Part::InterimFields ? Part::StatusLine : Part::Trailer;
 }
 
-std::string ReplyHeadReader::onField(std::string_view line, HttpHeaders& headers)
+std::string ReplyHeadReader::onField(std::string_view line, HttpHeaders& headers) const
 {
     std::size_t colon = line.find(':');
     std::string_view name = line.substr(0, colon);
@@ -64,7 +82,9 @@
     // section 5.2).
     if (colon == std::string_view::npos || !isFieldName(name))
         return "the name of a field in the reply is invalid";
-    headers.add(std::string(name), std::string(trimmed(line.substr(colon + 1))));
+    // What comes behind the body must not change what the head says (RFC 9110, section 6.5.1).
+    if (part_ != Part::Trailer)
+        headers.add(std::string(name), std::string(trimmed(line.substr(colon + 1))));
     return {};
 }
 
--- a/ragwortwinch/net/reply_head_reader.h
+++ b/ragwortwinch/net/reply_head_reader.h
@@ -16,13 +16,19 @@
 class ReplyHeadReader {
 public:
     // Takes a line with its end: a status line, a field or the blank line behind them, of interim replies
-    // (1xx), the final one or its trailer. Sets `headers` to the fields of the reply that is being read.
-    // Returns why the reply is invalid, or an empty string.
+    // (1xx), the final one or its trailer. Sets `headers` to the fields of the reply that is being read,
+    // without those of its trailer. Returns why the reply is invalid, or an empty string.
     std::string onLine(std::string_view line, HttpHeaders& headers);
 
 private:
+    // The part of the reply to which the next line belongs.
+    enum class Part { StatusLine, InterimFields, FinalFields, Trailer };
+
     std::string onStatusLine(std::string_view line);
-    static std::string onField(std::string_view line, HttpHeaders& headers);
+    void onBlankLine();
+    std::string onField(std::string_view line, HttpHeaders& headers) const;
+
+    Part part_ = Part::StatusLine;
 };
 
 } // namespace ragwortwinch
