Refuse replies with a transfer coding other than chunked

Cause: the forwarding path's parser takes a coding that doesn't end in "chunked", such as gzip or "chunked, gzip", for a body that ends with its connection, undoes only the last of two, and undoes chunks of HTTP/1.0, which has none. The field isn't relayed, so callers got coded bytes, or the marks of chunks, as the endpoint's body. libcurl takes "identity", an empty coding and chunks of HTTP/1.0. Change: a reply has no transfer coding or chunks (isReadableTransferCoding), in attempts and in calls through libcurl.

--- a/ragwortwinch/caller/invalid_head_test.cc
+++ b/ragwortwinch/caller/invalid_head_test.cc
@@ -112,5 +112,26 @@
     }
 }
 
+// Guards against a body in a coding that nobody asked for, or with the marks of its chunks, that reaches the
+// caller.
+TEST_CASE("a reply with a transfer coding other than chunked is a failure of its endpoint")
+{
+    auto framed
+        = [](const std::string& request, const std::string& fields, const std::string& version = "1.1") {
+              return "HTTP/" + version + " 200 OK\r\nId: " + fieldOf(request, "Id") + "\r\n" + fields
+                  + "Connection: keep-alive\r\n\r\n5\r\nwrong\r\n0\r\n\r\n";
+          };
+    for (const std::string fields : {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+             "Transfer-Encoding: chunked, gzip\r\n", "Transfer-Encoding: chunked, chunked\r\n",
+             "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: identity\r\n", "Transfer-Encoding:\r\n",
+             "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+             "Transfer-Encoding: gzip\r\nContent-Length: 5\r\n"}) {
+        CAPTURE(fields);
+        checkIsFailure([&](const std::string& request) { return framed(request, fields); });
+    }
+    checkIsFailure(
+        [&](const std::string& request) { return framed(request, "Transfer-Encoding: chunked\r\n", "1.0"); });
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -27,6 +27,17 @@
 
 std::string_view toView(boost::beast::string_view text) { return {text.data(), text.size()}; }
 
+// Whether the reply has no transfer coding or a single one that the parser undoes. It takes others for a body
+// that ends with the connection, or undoes the last one only.
+bool isCodingReadable(const http::response_header<>& header)
+{
+    constexpr unsigned http10 = 10;
+    auto [first, last] = header.equal_range(http::field::transfer_encoding);
+    return first == last
+        || (std::next(first) == last
+            && isReadableTransferCoding(toView(first->value()), header.version() == http10));
+}
+
 } // namespace
 
 Attempt::Attempt(boost::asio::io_context& context, ChannelPool& pool, const RequestCodec& codec,
@@ -180,6 +191,10 @@
         endInvalid(fmt::format("the reply's status {:03} is none that a reply may have", status));
         return;
     }
+    if (!isCodingReadable(header)) {
+        endInvalid("the reply's transfer coding is not chunked");
+        return;
+    }
     reply_ = codec_.decodeReply(header);
     // An endpoint that can't parse the request refuses it without an id. On a new connection the refusal can
     // only belong to this request.
--- a/ragwortwinch/net/http_message.cc
+++ b/ragwortwinch/net/http_message.cc
@@ -33,6 +33,12 @@
     return {};
 }
 
+bool HttpHeaders::has(std::string_view name) const
+{
+    return std::any_of(fields_.begin(), fields_.end(),
+        [name](const Field& field) { return equalsIgnoringCase(field.first, name); });
+}
+
 HttpResponse jsonResponse(int status, std::string body)
 {
     HttpResponse response;
--- a/ragwortwinch/net/http_message.h
+++ b/ragwortwinch/net/http_message.h
@@ -18,6 +18,7 @@
     void add(std::string name, std::string value) { fields_.emplace_back(std::move(name), std::move(value)); }
     // Returns the first value of `name`, or an empty string if there is none.
     std::string_view get(std::string_view name) const;
+    bool has(std::string_view name) const;
     const std::vector<Field>& fields() const { return fields_; }
 
 private:
--- a/ragwortwinch/net/invalid_reply_test.cc
+++ b/ragwortwinch/net/invalid_reply_test.cc
@@ -173,6 +173,23 @@
     }
 }
 
+// Guards against a body in a coding that nobody asked for, or with the marks of its chunks, that counts as
+// the answer.
+TEST_CASE("a call whose reply has a transfer coding other than chunked is broken")
+{
+    const std::string chunked = "5\r\nwrong\r\n0\r\n\r\n";
+    for (const std::string coding :
+        {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "xchunked", "identity", ""}) {
+        CAPTURE(coding);
+        checkIsBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n" + chunked);
+    }
+    checkIsBroken(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n" + chunked);
+    checkIsBroken(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked);
+    checkIsBroken("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked);
+}
+
 TEST_CASE("a call whose reply comes behind interim ones is complete")
 {
     Called called = callServer(
--- a/ragwortwinch/net/reply_head.h
+++ b/ragwortwinch/net/reply_head.h
@@ -6,6 +6,8 @@
 // Thread-safe.
 #pragma once
 
+#include "ragwortwinch/net/http_message.h"
+
 #include <algorithm>
 #include <string_view>
 
@@ -30,4 +32,11 @@
     });
 }
 
+// Whether the body of a reply with this transfer coding can be read: in chunks, since nothing here asks for
+// another coding. HTTP/1.0 has none, so there a sender doesn't mean what it says (RFC 9112, section 6.1).
+inline bool isReadableTransferCoding(std::string_view coding, bool isHttp10)
+{
+    return !isHttp10 && equalsIgnoringCase(coding, "chunked");
+}
+
 } // namespace ragwortwinch
--- a/ragwortwinch/net/reply_head_reader.cc
+++ b/ragwortwinch/net/reply_head_reader.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::string_view transferEncoding = "Transfer-Encoding";
+
 std::string_view withoutEnd(std::string_view line)
 {
     if (line.ends_with('\n'))
@@ -65,6 +67,7 @@
         return "the reply's status line is invalid";
     if (!isInterimStatus(*status) && !isFinalStatus(*status))
         return "the reply's status is none that a reply may have";
+    isHttp10_ = line.starts_with("HTTP/1.0");
     part_ = isInterimStatus(*status) ? Part::InterimFields : Part::FinalFields;
     return {};
 }
@@ -83,8 +86,21 @@
     if (colon == std::string_view::npos || !isFieldName(name))
         return "the name of a field in the reply is invalid";
     // What comes behind the body must not change what the head says (RFC 9110, section 6.5.1).
-    if (part_ != Part::Trailer)
-        headers.add(std::string(name), std::string(trimmed(line.substr(colon + 1))));
+    if (part_ == Part::Trailer)
+        return {};
+    std::string_view value = trimmed(line.substr(colon + 1));
+    std::string problem = checkFraming(name, value, headers);
+    headers.add(std::string(name), std::string(value));
+    return problem;
+}
+
+std::string ReplyHeadReader::checkFraming(
+    std::string_view name, std::string_view value, const HttpHeaders& before) const
+{
+    if (equalsIgnoringCase(name, transferEncoding)) {
+        bool isReadable = isReadableTransferCoding(value, isHttp10_) && !before.has(transferEncoding);
+        return isReadable ? "" : "the reply's transfer coding is not chunked";
+    }
     return {};
 }
 
