Refuse replies whose lengths contradict each other, where libcurl reads them

Cause: libcurl takes the last of two lengths, the number at the start of one such as "5, 2" or "5x", reads to the end of the connection after one that is out of range, and prefers chunks to a length. A head put together from two replies, or a damaged one, was read with a body that isn't the server's. Change: ReplyHeadReader takes a length that is a decimal number, once or repeated the same, and not beside chunks.

--- a/ragwortwinch/net/invalid_reply_test.cc
+++ b/ragwortwinch/net/invalid_reply_test.cc
@@ -190,6 +190,21 @@
     checkIsBroken("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked);
 }
 
+// Guards against a body that ends elsewhere than its server means.
+TEST_CASE("a call whose reply has lengths that contradict each other is broken")
+{
+    for (const std::string lengths :
+        {"Content-Length: 5\r\nContent-Length: 2\r\n", "Content-Length: 5, 2\r\n", "Content-Length: 5x\r\n",
+            "Content-Length: +5\r\n", "Content-Length: -5\r\n", "Content-Length:\r\n",
+            "Content-Length: 5 5\r\n", "Content-Length: 99999999999999999999999\r\n"}) {
+        CAPTURE(lengths);
+        checkIsBroken("HTTP/1.1 200 OK\r\n" + lengths + "\r\nwrong");
+    }
+    const std::string chunked = "5\r\nwrong\r\n0\r\n\r\n";
+    checkIsBroken("HTTP/1.1 200 OK\r\nContent-Length: 15\r\nTransfer-Encoding: chunked\r\n\r\n" + chunked);
+    checkIsBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 15\r\n\r\n" + chunked);
+}
+
 TEST_CASE("a call whose reply comes behind interim ones is complete")
 {
     Called called = callServer(
--- a/ragwortwinch/net/reply_head_reader.cc
+++ b/ragwortwinch/net/reply_head_reader.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdint>
 #include <optional>
 
 namespace ragwortwinch {
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr std::string_view transferEncoding = "Transfer-Encoding";
+constexpr std::string_view contentLength = "Content-Length";
 
 std::string_view withoutEnd(std::string_view line)
 {
@@ -29,6 +31,13 @@
     return text.substr(0, text.find_last_not_of(blanks) + 1);
 }
 
+bool isLength(std::string_view text)
+{
+    std::uint64_t length = 0;
+    std::from_chars_result result = std::from_chars(text.data(), text.data() + text.size(), length);
+    return !text.empty() && result.ec == std::errc() && result.ptr == text.data() + text.size();
+}
+
 // Returns the status in a status line of HTTP/1.0 or 1.1, or nothing if it is none.
 std::optional<int> parseStatusLine(std::string_view line)
 {
@@ -99,9 +108,15 @@
 {
     if (equalsIgnoringCase(name, transferEncoding)) {
         bool isReadable = isReadableTransferCoding(value, isHttp10_) && !before.has(transferEncoding);
-        return isReadable ? "" : "the reply's transfer coding is not chunked";
-    }
-    return {};
+        if (!isReadable)
+            return "the reply's transfer coding is not chunked";
+    } else if (equalsIgnoringCase(name, contentLength)) {
+        if (!isLength(value) || (before.has(contentLength) && before.get(contentLength) != value))
+            return "the reply's length is no number, or there are two";
+    } else
+        return {};
+    bool hasBoth = before.has(equalsIgnoringCase(name, contentLength) ? transferEncoding : contentLength);
+    return hasBoth ? "the reply has a length and chunks" : "";
 }
 
 } // namespace ragwortwinch
