Refuse replies with control bytes in their head, where libcurl reads them

Cause: libcurl refuses NUL only. Values and reasons with other control bytes were kept, and the content type of a plain service's answer is passed on to callers. Change: ReplyHeadReader ends the call at a line with a control byte other than a tab. Result: none are complete; tabs and bytes above 127 in values are still taken.

--- a/ragwortwinch/net/invalid_reply_test.cc
+++ b/ragwortwinch/net/invalid_reply_test.cc
@@ -205,6 +205,21 @@
     checkIsBroken("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 15\r\n\r\n" + chunked);
 }
 
+// Guards against damaged heads that count as an answer.
+TEST_CASE("a call whose reply has a control byte in a value or its reason is broken")
+{
+    for (const std::string& text : {std::string("a\x01"), std::string("a\0b", 3), std::string("a\rb"),
+             std::string("a\x7f"), std::string("\x1b[0m")}) {
+        CAPTURE(text);
+        checkIsBroken("HTTP/1.1 200 OK\r\nX-Field: " + text + "\r\nContent-Length: 5\r\n\r\nwrong");
+        checkIsBroken("HTTP/1.1 200 " + text + "\r\nContent-Length: 5\r\n\r\nwrong");
+    }
+    CHECK(
+        callServer("HTTP/1.1 200 OK\r\nX-Field: a\tb\xc3\xa9\r\nContent-Length: 5\r\n\r\nsound", false, false)
+            .result.body
+        == "sound");
+}
+
 TEST_CASE("a call whose reply comes behind interim ones is complete")
 {
     Called called = callServer(
--- a/ragwortwinch/net/reply_head.h
+++ b/ragwortwinch/net/reply_head.h
@@ -32,6 +32,17 @@
     });
 }
 
+// Whether a field may have this value, and a status line this reason: text without control bytes other than
+// tabs.
+inline bool isFieldValue(std::string_view value)
+{
+    return std::none_of(value.begin(), value.end(), [](char c) {
+        constexpr unsigned char firstPrintable = 0x20;
+        constexpr char del = 0x7f;
+        return (static_cast<unsigned char>(c) < firstPrintable && c != '\t') || c == del;
+    });
+}
+
 // Whether the body of a reply with this transfer coding can be read: in chunks, since nothing here asks for
 // another coding. HTTP/1.0 has none, so there a sender doesn't mean what it says (RFC 9112, section 6.1).
 inline bool isReadableTransferCoding(std::string_view coding, bool isHttp10)
--- a/ragwortwinch/net/reply_head_reader.cc
+++ b/ragwortwinch/net/reply_head_reader.cc
@@ -58,6 +58,8 @@
 std::string ReplyHeadReader::onLine(std::string_view line, HttpHeaders& headers)
 {
     line = withoutEnd(line);
+    if (!isFieldValue(line))
+        return "the reply's head has a control byte";
     if (part_ == Part::StatusLine) {
         // Drops the fields of an interim reply before this one.
         headers = {};
