Refuse encoded bodies that were not asked for, where libcurl reads them

Cause: libcurl hands encoded bodies on as they are, and the product's own mode passes a plain service's body and content type on, but not its encoding: callers got bytes that they couldn't read as a success. The forwarding path refuses them. Change: ReplyHeadReader ends the call at a Content-Encoding other than identity, since nothing here asks for one.

--- a/ragwortwinch/net/invalid_reply_test.cc
+++ b/ragwortwinch/net/invalid_reply_test.cc
@@ -220,6 +220,20 @@
         == "sound");
 }
 
+// Guards against a plain service's encoded body that reaches a caller without the name of its encoding.
+TEST_CASE("a call whose reply has an encoded body is broken")
+{
+    for (const std::string encoding : {"gzip", "br", "identity, gzip", "x"}) {
+        CAPTURE(encoding);
+        checkIsBroken(
+            "HTTP/1.1 200 OK\r\nContent-Encoding: " + encoding + "\r\nContent-Length: 5\r\n\r\nwrong");
+    }
+    CHECK(callServer(
+              "HTTP/1.1 200 OK\r\nContent-Encoding: identity\r\nContent-Length: 5\r\n\r\nsound", false, false)
+              .result.body
+        == "sound");
+}
+
 TEST_CASE("a call whose reply comes behind interim ones is complete")
 {
     Called called = callServer(
--- a/ragwortwinch/net/reply_head_reader.cc
+++ b/ragwortwinch/net/reply_head_reader.cc
@@ -100,12 +100,12 @@
     if (part_ == Part::Trailer)
         return {};
     std::string_view value = trimmed(line.substr(colon + 1));
-    std::string problem = checkFraming(name, value, headers);
+    std::string problem = checkBodyField(name, value, headers);
     headers.add(std::string(name), std::string(value));
     return problem;
 }
 
-std::string ReplyHeadReader::checkFraming(
+std::string ReplyHeadReader::checkBodyField(
     std::string_view name, std::string_view value, const HttpHeaders& before) const
 {
     if (equalsIgnoringCase(name, transferEncoding)) {
@@ -115,7 +115,11 @@
     } else if (equalsIgnoringCase(name, contentLength)) {
         if (!isLength(value) || (before.has(contentLength) && before.get(contentLength) != value))
             return "the reply's length is no number, or there are two";
-    } else
+    } else if (equalsIgnoringCase(name, "Content-Encoding"))
+        return value.empty() || equalsIgnoringCase(value, "identity")
+            ? ""
+            : "the reply's body is encoded, which was not asked for";
+    else
         return {};
     bool hasBoth = before.has(equalsIgnoringCase(name, contentLength) ? transferEncoding : contentLength);
     return hasBoth ? "the reply has a length and chunks" : "";
--- a/ragwortwinch/net/reply_head_reader.h
+++ b/ragwortwinch/net/reply_head_reader.h
@@ -27,8 +27,9 @@
     std::string onStatusLine(std::string_view line);
     void onBlankLine();
     std::string onField(std::string_view line, HttpHeaders& headers) const;
-    // Checks that the fields of a head agree on where the body ends.
-    std::string checkFraming(std::string_view name, std::string_view value, const HttpHeaders& before) const;
+    // Checks that the body can be read: that its coding is known, and that the fields agree on where it ends.
+    std::string checkBodyField(
+        std::string_view name, std::string_view value, const HttpHeaders& before) const;
 
     Part part_ = Part::StatusLine;
     bool isHttp10_ = false;
