Refuse replies that name two requests or have two signatures

Cause: the first of two fields was compared. A head put together from the replies to two requests passed for the reply to the one that came first, or for another request's late one. Change: the codec says that a reply is contradictory when an id or a signature occurs with different values; the attempt ends as broken, also where the head says "not run".

--- a/ragwortwinch/caller/invalid_head_test.cc
+++ b/ragwortwinch/caller/invalid_head_test.cc
@@ -133,5 +133,21 @@
         [&](const std::string& request) { return framed(request, "Transfer-Encoding: chunked\r\n", "1.0"); });
 }
 
+// Guards against a head put together from the replies to two requests.
+TEST_CASE("a reply that names two requests is a failure of its endpoint")
+{
+    for (bool isOwnIdFirst : {false, true}) {
+        for (const std::string extra : {"", "Not-Run: 1\r\n"}) {
+            CAPTURE(isOwnIdFirst);
+            CAPTURE(extra);
+            checkIsFailure([&](const std::string& request) {
+                std::string reply = answerTo(request, "wrong");
+                std::size_t place = reply.find(isOwnIdFirst ? "Content-Length" : "Id: ");
+                return reply.insert(place, "Id: other\r\n" + extra);
+            });
+        }
+    }
+}
+
 } // namespace
 } // namespace ragwortwinch
--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -196,6 +196,10 @@
         return;
     }
     reply_ = codec_.decodeReply(header);
+    if (reply_.isContradictory) {
+        endInvalid("the reply names two requests or has two signatures");
+        return;
+    }
     // An endpoint that can't parse the request refuses it without an id. On a new connection the refusal can
     // only belong to this request.
     bool isUnattributedRefusal = reply_.requestId.empty() && !hasReusedChannel_ && staleReplies_ == 0
--- a/ragwortwinch/forward/request_codec.h
+++ b/ragwortwinch/forward/request_codec.h
@@ -56,6 +56,8 @@
 // The decoded header of an endpoint's reply.
 struct EndpointReply {
     std::string requestId;
+    // The head names two requests or has two signatures, as one that is put together from two replies.
+    bool isContradictory = false;
     // The endpoint has not run the request and never will.
     bool isNotExecuted = false;
     // The reply has the endpoint's signature, so the endpoint itself produced it.
--- a/testing/forward/fake_codec.h
+++ b/testing/forward/fake_codec.h
@@ -57,6 +57,9 @@
     {
         EndpointReply reply;
         reply.requestId = text(fields, "Id");
+        auto [first, last] = fields.equal_range("Id");
+        for (auto id = first; id != last; ++id)
+            reply.isContradictory = reply.isContradictory || id->value() != first->value();
         reply.isNotExecuted = !text(fields, "Not-Run").empty();
         reply.isSigned = text(fields, "Unsigned").empty();
         reply.isEncoded = !text(fields, "Content-Encoding").empty();
