--- a/ragwortwinch/forward/attempt.cc
+++ b/ragwortwinch/forward/attempt.cc
@@ -38,6 +38,16 @@
             && isReadableTransferCoding(toView(first->value()), header.version() == http10));
 }
 
+// Returns why no endpoint in order sends this head as that of a final reply, or an empty string.
+std::string headProblem(const http::response_header<>& header, const EndpointReply& reply)
+{
+    if (!isFinalStatus(static_cast<int>(header.result_int())))
+        return fmt::format("the reply's status {:03} is none that a reply may have", header.result_int());
+    if (!isCodingReadable(header))
+        return "the reply's transfer coding is not chunked";
+    return reply.isContradictory ? "the reply names two requests or has two signatures" : "";
+}
+
 } // namespace
 
 Attempt::Attempt(boost::asio::io_context& context, ChannelPool& pool, const RequestCodec& codec,
@@ -187,17 +197,9 @@
             readHead();
         return;
     }
-    if (!isFinalStatus(status)) {
-        endInvalid(fmt::format("the reply's status {:03} is none that a reply may have", status));
-        return;
-    }
-    if (!isCodingReadable(header)) {
-        endInvalid("the reply's transfer coding is not chunked");
-        return;
-    }
     reply_ = codec_.decodeReply(header);
-    if (reply_.isContradictory) {
-        endInvalid("the reply names two requests or has two signatures");
+    if (std::string problem = headProblem(header, reply_); !problem.empty()) {
+        endInvalid(std::move(problem));
         return;
     }
     // An endpoint that can't parse the request refuses it without an id. On a new connection the refusal can
