Limit request bodies at the readiness, directory and operators' ports

Cause: these servers had the defaults of HttpServerLimits: 8 MB of body for each of 400 connections, which no account counts. A client without a key made VMs exceed their memory about once a second. Change: 4 KiB; none of their requests has a body. What sends more loses its connection.

--- a/ragwortwinch/node/gateway_node.cc
+++ b/ragwortwinch/node/gateway_node.cc
@@ -31,6 +31,8 @@
 constexpr Millis lagStep{50};
 // For the readiness, directory and operators' ports.
 constexpr std::size_t maxAuxiliaryConnections = 400;
+// None of their requests has a body.
+constexpr std::uint64_t maxAuxiliaryBodyBytes = 4096;
 // Fraction of the descriptors for connections of callers; the rest is for endpoints, peers and the store.
 // With 3,075 descriptors, the fewest of a VM, it allows the default of ForwardOptions::maxSessions.
 constexpr double callerDescriptorFraction = 0.8;
@@ -114,6 +116,7 @@
 {
     HttpServerLimits limits;
     limits.maxConnections = maxAuxiliaryConnections;
+    limits.maxBodyBytes = maxAuxiliaryBodyBytes;
     return HttpServerBuilder()
         .address(address.host)
         .port(address.port)
