Limit the number of prompt parts in the model of an engine's cache

Cause: the model forgets parts while their tokens exceed its capacity. Callers name the parts; those of 0 tokens stayed for good, and as many of 1 token fitted as the engine has tokens. Change: 8,192 parts an engine at most; those used least recently go first.

--- a/ragwortwinch/placement/prompt_cache_model.cc
+++ b/ragwortwinch/placement/prompt_cache_model.cc
@@ -14,7 +14,7 @@
         entries_[part.id] = lru_.begin();
         tokens_ += part.tokens;
     }
-    while (tokens_ > capacity_ && !lru_.empty()) {
+    while ((tokens_ > capacity_ || entries_.size() > maxParts) && !lru_.empty()) {
         tokens_ -= lru_.back().tokens;
         entries_.erase(lru_.back().id);
         lru_.pop_back();
--- a/ragwortwinch/placement/prompt_cache_model.h
+++ b/ragwortwinch/placement/prompt_cache_model.h
@@ -18,6 +18,10 @@
 
 class PromptCacheModel {
 public:
+    // Parts that are kept at most, whatever their tokens: callers name them, and one of few tokens takes as
+    // much memory here as any other.
+    static constexpr std::size_t maxParts = 8192;
+
     // Tokens in the engine's cache that prompts of this VM can occupy.
     void setCapacity(std::int64_t tokens) { capacity_ = tokens; }
     // Called when a prompt is sent; its parts are assumed to be cached from then on.
@@ -25,6 +29,7 @@
     // Tokens of the longest prefix of `parts` that is expected to be cached.
     std::int64_t cachedTokens(const std::vector<PromptPart>& parts) const;
     void clear();
+    std::size_t parts() const { return entries_.size(); }
 
 private:
     struct Entry {
