Let a full VM close idle connections of the caller with the most

Cause: a VM with as many connections as it takes closed each new one, whoever held the others. One client with 2,600 idle connections kept all others out until the idle timeout. Change: a new connection takes the place of the one that has been idle longest at the address with the most connections, if its own address has at least two fewer. Connections with a request or unread bytes stay. Ends count as idle_for_room.

--- a/ragwortwinch/caller/caller_session.h
+++ b/ragwortwinch/caller/caller_session.h
@@ -41,7 +41,14 @@
     void start();
     // Closes the connection if it has waited for a request for at least `minIdle` and has no unread bytes.
     void closeIfIdle(Millis minIdle);
+    // Closes the connection to make room if it waits for a request and has no unread bytes. Returns whether
+    // it did.
+    bool closeForRoom();
     bool isIdle() const { return state_ == State::Idle; }
+    // When the connection began to wait for a request; meaningful while it is idle.
+    Instant idleSince() const { return idleSince_; }
+    // The caller's address without the port.
+    const std::string& address() const { return memory_.address(); }
     // Whether bytes wait to be sent and the caller's system doesn't respond.
     bool isCallerUnreachable();
     void endUnreachable();
--- a/ragwortwinch/caller/caller_session_end.cc
+++ b/ragwortwinch/caller/caller_session_end.cc
@@ -66,6 +66,14 @@
         close(ConnectionEnd::IdleAtStop);
 }
 
+bool CallerSession::closeForRoom()
+{
+    if (state_ != State::Idle || hasUnreadBytes())
+        return false;
+    close(ConnectionEnd::IdleForRoom);
+    return true;
+}
+
 bool CallerSession::isCallerUnreachable() { return isWriting_ && isUnreachable(socket_); }
 
 void CallerSession::endUnreachable() { cancelAndClose(ConnectionEnd::WriteFailed); }
--- a/ragwortwinch/caller/forward_server.h
+++ b/ragwortwinch/caller/forward_server.h
@@ -101,6 +101,8 @@
     // Ends the stalled requests that hold most memory, except that of `charge`, until `bytes` are released.
     bool endStalledRequests(const MemoryCharge& charge, std::size_t bytes);
     void addSession(boost::asio::ip::tcp::socket socket);
+    // Closes an idle connection of the address with the most if this one has fewer. Returns whether it did.
+    bool makeRoomFor(const std::string& address);
     void updateDrained();
     void scheduleSweep();
     void sweep();
@@ -127,6 +129,8 @@
     // True while an accept is pending or its handler has not run yet.
     bool isAccepting_ = false;
     std::set<std::shared_ptr<CallerSession>> sessions_;
+    // Numbers of sessions.
+    std::map<std::string, std::size_t> sessionsByAddress_;
     std::set<std::string> vms_;
     // When stalled requests were last looked for in vain.
     Instant noStalledAt_;
--- a/ragwortwinch/forward/connection_end.h
+++ b/ragwortwinch/forward/connection_end.h
@@ -14,6 +14,8 @@
     IdleTimeout,
     // It waited for a request while this VM was stopping.
     IdleAtStop,
+    // It waited for a request while a caller with fewer connections needed room.
+    IdleForRoom,
     // Bytes for the caller could not be written.
     WriteFailed,
     // A stream was interrupted and reset.
@@ -22,11 +24,12 @@
     ProcessEnd,
 };
 
-inline constexpr NameTable<ConnectionEnd, 7> connectionEndNames{{{
+inline constexpr NameTable<ConnectionEnd, 8> connectionEndNames{{{
     {ConnectionEnd::CallerGone, "caller_gone"},
     {ConnectionEnd::AfterReply, "after_reply"},
     {ConnectionEnd::IdleTimeout, "idle_timeout"},
     {ConnectionEnd::IdleAtStop, "idle_at_stop"},
+    {ConnectionEnd::IdleForRoom, "idle_for_room"},
     {ConnectionEnd::WriteFailed, "write_failed"},
     {ConnectionEnd::Aborted, "aborted"},
     {ConnectionEnd::ProcessEnd, "process_end"},
--- a/testing/forward/forward_fixture.h
+++ b/testing/forward/forward_fixture.h
@@ -21,12 +21,14 @@
 class ForwardFixture {
 public:
     // `crashListener` must outlive the fixture.
-    explicit ForwardFixture(CrashListener* crashListener = nullptr, const MemoryLimits& memory = {})
+    explicit ForwardFixture(CrashListener* crashListener = nullptr, const MemoryLimits& memory = {},
+        std::size_t maxSessions = ForwardOptions().maxSessions)
         : metrics_(registry_)
         , traffic_(std::make_unique<std::shared_ptr<const TrafficTable>>())
         , usage_(Millis(1000))
     {
         options_.memory = memory;
+        options_.maxSessions = maxSessions;
         options_.vm = "vm";
         options_.availabilityZone = "z";
         options_.region = "r";
@@ -121,7 +123,11 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
 
-    RawSocket connect() const { return RawSocket::connectTo(port_); }
+    // Connects a caller at 127.0.0.`callerNumber`.
+    RawSocket connect(std::uint32_t callerNumber = 1) const
+    {
+        return RawSocket::connectTo(port_, callerNumber);
+    }
     ForwardServer& server() { return *server_; }
     UsageCounter& usage() { return usage_; }
     // Returns how many connections have ended so.
--- a/testing/forward/raw_socket.h
+++ b/testing/forward/raw_socket.h
@@ -44,12 +44,16 @@
     }
     ~RawSocket() { close(); }
 
-    // Connects to `port` on the loopback address; `isOpen` is false if that fails.
-    static RawSocket connectTo(std::uint16_t port)
+    // Connects to `port` on the loopback address, from 127.0.0.`sourceNumber`; `isOpen` is false if that
+    // fails.
+    static RawSocket connectTo(std::uint16_t port, std::uint32_t sourceNumber = 1)
     {
         RawSocket raw(::socket(AF_INET, SOCK_STREAM, 0));
         sockaddr_in address{};
         address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK - 1 + sourceNumber);
+        if (bind(raw.descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
+            raw.close();
         address.sin_port = htons(port);
         address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         if (connect(raw.descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0)
